--- /dev/null
+++ b/src/config/config.h
@@ -0,0 +1,60 @@
+// The configuration and the board's notices: JSON read once into plain structs.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <stdexcept>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "walnuttiller/router.h"
+
+namespace config {
+
+struct Error : std::runtime_error {
+  using std::runtime_error::runtime_error;
+};
+
+// What the settings say beside what the decisions need.
+struct Names {
+  std::vector<std::string> zones, kinds, classes;
+  int parent_kind = -1, origin_kind = -1;
+};
+struct Member {
+  walnuttiller::Server server;
+  std::string name, address;
+};
+struct Notice {
+  struct Flush {
+    std::optional<std::uint64_t> object;
+    std::uint32_t group = 0;
+    std::int64_t at = 0;  // Unix microseconds
+  };
+  std::uint64_t number = 0;
+  bool pool = false, complete = false;
+  std::vector<Member> members;
+  std::optional<Flush> flush;
+};
+struct Config {
+  std::string name, listen, board;
+  std::uint64_t seed = 0;
+  std::size_t memory_mb = 192;
+  int sockets = 1024;
+  walnuttiller::Settings settings;
+  Names names;
+  std::int64_t dial_timeout = 400'000, idle_close = 30'000'000;
+  std::size_t streams = 32;
+  std::uint64_t known = 0;  // number of the last notice below
+  std::vector<Notice> notices;
+};
+
+// Throws Error with one plain line.
+Config read(std::string_view text);
+Config read_file(const std::string& path);
+// Empty if the line is no notice that this version understands.
+std::optional<Notice> read_notice(std::string_view line, const Names& names);
+// The same id gives the same number at every router: rendezvous hashes must agree.
+walnuttiller::ServerId server_id(std::string_view name);
+
+}  // namespace config
--- /dev/null
+++ b/src/core/engine.cpp
@@ -0,0 +1,296 @@
+#include "core/engine.h"
+
+#include <algorithm>
+
+namespace core {
+namespace {
+
+// The answer must reach the client before it gives up: ways, its clock and ours take their part.
+constexpr Time kAnswerMargin = 20'000, kMarginPart = 10;  // at most a tenth of the limit
+constexpr Time kAgeSlack = 50'000;                        // on the ages of copies: ways and rounding
+constexpr Time kPurgeMargin = 2'000;
+
+}  // namespace
+
+struct Engine::Held {
+  Front* front = nullptr;
+  std::string id, idempotency_key, held_tag, body, object_text;
+  module::Request request;
+  std::uint32_t next_attempt = 0;
+  int out = 0;
+  bool open = true;  // a final answer is still owed
+  Time deadline = 0;
+};
+struct Engine::Attempt {
+  Ticket ticket = 0;
+  module::AttemptNo number;
+  Order order;
+  Time sent = 0, written = 0;
+  Deadlines::Key timeout{};
+  bool ended = false;  // its one outcome is under way
+};
+
+Engine::Engine(const module::Settings& settings, std::uint64_t seed, Deadlines& deadlines,
+               std::function<Time()> clock)
+    : settings_(settings), router_(settings, seed), deadlines_(deadlines), clock_(std::move(clock)) {}
+Engine::~Engine() = default;
+
+Time Engine::now() { return now_ = std::max(now_, clock_()); }
+
+Ticket Engine::take(Front& front, const Demand& d) {
+  const Ticket ticket = ++last_ticket_;
+  Held& h = held_[ticket];
+  h.front = &front;
+  h.id = d.id;
+  h.idempotency_key = d.idempotency_key;
+  h.held_tag = d.held_tag;
+  h.body = d.body;
+  h.object_text = d.object_text;
+  module::Request& q = h.request;
+  q.id = {ticket};
+  q.object = {d.object};
+  q.group = {d.group};
+  q.cls = {d.cls};
+  q.part = d.part;
+  q.size_kb = d.size_kb;
+  q.write = d.cls < settings_.classes.size() && settings_.classes[d.cls].uncached;
+  const Time margin = std::min(kAnswerMargin, d.limit / kMarginPart);
+  h.deadline = now() + std::max<Time>(0, d.limit - margin);
+  q.budget = h.deadline - now_;
+  ++open_;
+  held_bytes_ += h.body.size();
+  ++counters_.taken;
+  waiting_.push_back({q, ticket, 0, {}});
+  return ticket;
+}
+
+void Engine::withdraw(Ticket ticket) { waiting_.push_back({module::ClientLeft{{ticket}}, ticket, 0, {}}); }
+
+const Order* Engine::order(AttemptId attempt) const {
+  const auto it = attempts_.find(attempt);
+  return it == attempts_.end() || it->second.ended ? nullptr : &it->second.order;
+}
+
+void Engine::written(AttemptId attempt) {
+  const auto it = attempts_.find(attempt);
+  if (it == attempts_.end() || it->second.written) return;
+  it->second.written = now();
+  ++counters_.sent;
+}
+
+// Exactly one outcome for each attempt: whatever comes after the first is dropped here.
+void Engine::reply(AttemptId attempt, const Reply& reply) {
+  const auto it = attempts_.find(attempt);
+  if (it == attempts_.end() || it->second.ended) {
+    ++counters_.late_answers;
+    return;
+  }
+  it->second.ended = true;
+  deadlines_.clear(it->second.timeout);
+  waiting_.push_back({module::Outcome{}, it->second.ticket, attempt, reply});
+}
+
+void Engine::probed(module::ServerId server, bool ok, Time elapsed, const module::Report& report) {
+  waiting_.push_back({module::Probed{server, ok, elapsed, report}, 0, 0, {}});
+}
+void Engine::fleet(module::FleetUpdate update) {
+  ++counters_.fleet_updates;
+  urgent_.push_back({std::move(update), 0, 0, {}});
+}
+void Engine::purge(std::optional<std::uint64_t> object, std::uint32_t group, Time unix_time) {
+  ++counters_.purges;
+  module::Purge p;
+  if (object) p.object = module::ObjectId{*object};
+  p.group = {group};
+  p.since = std::max<Time>(0, now() - unix_time);
+  urgent_.push_back({p, 0, 0, {}});
+}
+
+void Engine::run() {
+  now();
+  while (!urgent_.empty() || !waiting_.empty()) {
+    std::vector<Event> batch;
+    batch.swap(urgent_);
+    std::move(waiting_.begin(), waiting_.end(), std::back_inserter(batch));
+    waiting_.clear();
+    for (auto& event : batch) take_in(event);
+    // Carrying out may fail at once (a refused connect): that is the next batch of the same turn.
+    std::vector<Effect> effects;
+    effects.swap(effects_);
+    for (const auto& effect : effects) carry_out(effect);
+    release();
+  }
+}
+
+void Engine::take_in(Event& e) {
+  if (e.attempt) return outcome(e);
+  if (std::holds_alternative<module::ClientLeft>(e.event)) {
+    const auto it = held_.find(e.ticket);
+    if (it == held_.end() || !it->second.open) return;  // answered already: the two crossed
+    ++counters_.withdrawn;
+    end(it->second);
+    return ask(e.event);
+  }
+  if (const auto* purge = std::get_if<module::Purge>(&e.event)) tighten(*purge);
+  ask(e.event);
+}
+
+void Engine::outcome(Event& e) {
+  const auto a = attempts_.find(e.attempt);
+  const auto h = held_.find(e.ticket);
+  if (a == attempts_.end() || h == held_.end()) return;
+  Held& held = h->second;
+  module::Outcome o;
+  o.id = {e.ticket};
+  o.attempt = a->second.number;
+  o.server = a->second.order.server;
+  o.result = e.reply.result;
+  o.elapsed = now_ - a->second.sent;
+  o.report = e.reply.report;
+  if (o.result == module::Result::ok && too_old(a->second, e.reply)) {
+    ++counters_.stale_answers;
+    o.result = module::Result::error;
+  }
+  count(o.result);
+  attempts_.erase(a);
+  --held.out;
+  if (o.result == module::Result::ok && held.open) {
+    ++counters_.served;
+    if (e.reply.unchanged) ++counters_.unchanged;
+    effects_.push_back(
+        Serve{e.ticket, held.front, {Verdict::served, e.reply.unchanged, 0, e.reply.body, e.reply.tag}});
+    end(held);
+  }
+  o.finished = !held.open;
+  ask(o);
+  if (o.finished) ended_.push_back(e.ticket);
+}
+
+// Danger: within one batch the module may end a request for which an answer stands later in the batch. The
+// ledger is closed as the decisions come in, though they are carried out after the batch.
+void Engine::ask(const module::Event& event) {
+  actions_.clear();
+  router_.handle(now_, event, actions_);
+  for (auto& action : actions_) {
+    const auto* refuse = std::get_if<module::Refuse>(&action);
+    const auto* fail = std::get_if<module::Fail>(&action);
+    if (!refuse && !fail) {
+      effects_.push_back(std::move(action));
+      continue;
+    }
+    const auto it = held_.find(refuse ? refuse->id.value : fail->id.value);
+    if (it == held_.end() || !it->second.open) continue;
+    Held& held = it->second;
+    const bool late = now_ >= held.deadline;
+    ++(refuse ? counters_.refused : counters_.failed);
+    Answer answer;
+    answer.verdict = refuse ? Verdict::refused : late ? Verdict::timed_out : Verdict::failed;
+    answer.retry_after = refuse ? refuse->retry_after : 0;
+    effects_.push_back(Serve{it->first, held.front, answer});
+    end(held);
+  }
+}
+
+void Engine::carry_out(const Effect& effect) {
+  if (const auto* serve = std::get_if<Serve>(&effect)) {
+    serve->front->answer(serve->ticket, serve->answer);
+    return;
+  }
+  const auto& action = std::get<module::Action>(effect);
+  if (const auto* s = std::get_if<module::Send>(&action)) return send(*s);
+  if (const auto* c = std::get_if<module::Cancel>(&action)) return cancel(*c);
+  if (const auto* p = std::get_if<module::Probe>(&action)) {
+    ++counters_.probes;
+    return backend_->probe(p->server);
+  }
+  if (const auto* t = std::get_if<module::SetTimer>(&action)) {
+    const module::TimerId timer = t->timer;
+    deadlines_.set(t->at, [this, timer] { waiting_.push_back({module::TimerDue{timer}, 0, 0, {}}); });
+  }
+}
+
+void Engine::send(const module::Send& s) {
+  const auto it = held_.find(s.id.value);
+  if (it == held_.end()) return;
+  Held& held = it->second;
+  const AttemptId id = ++last_attempt_;
+  Attempt& a = attempts_[id];
+  a.ticket = it->first;
+  a.number = {held.next_attempt++};
+  a.sent = now_;
+  a.order = {held.id,          held.idempotency_key,   held.held_tag,     held.body,
+             held.object_text, held.request.cls.value, held.request.part, s.server,
+             s.fill,           now_ + s.timeout};
+  ++held.out;
+  // Danger: the client may have left in this very batch, after the module decided to send.
+  if (!held.open) return reply(id, {module::Result::moot, false, {}, {}, 0, {}});
+  a.timeout = deadlines_.set(a.order.deadline, [this, id] { give_up(id, module::Result::timeout); });
+  backend_->send(id, s.server);
+}
+
+void Engine::cancel(const module::Cancel& c) {
+  for (const auto& [id, a] : attempts_)
+    if (a.ticket == c.id.value && a.number == c.attempt) return give_up(id, module::Result::cancelled);
+}
+
+void Engine::give_up(AttemptId attempt, module::Result result) {
+  const auto it = attempts_.find(attempt);
+  if (it == attempts_.end() || it->second.ended) return;
+  backend_->abort(attempt);
+  reply(attempt, {result, false, {}, {}, 0, {}});
+}
+
+void Engine::end(Held& held) {
+  if (!held.open) return;
+  held.open = false;
+  --open_;
+  ended_.push_back(held.request.id.value);
+}
+
+// A request is kept until all its attempts have ended: the module is owed an outcome for each.
+void Engine::release() {
+  for (const Ticket ticket : ended_) {
+    const auto it = held_.find(ticket);
+    if (it == held_.end() || it->second.open || it->second.out > 0) continue;
+    held_bytes_ -= it->second.body.size();
+    held_.erase(it);
+  }
+  ended_.clear();
+}
+
+// What was decided before the purge and is not yet written must not be answered from an older copy.
+void Engine::tighten(const module::Purge& purge) {
+  const Time age = std::max<Time>(1, purge.since - kPurgeMargin);
+  for (auto& [id, a] : attempts_) {
+    if (a.written) continue;
+    const auto& q = held_.at(a.ticket).request;
+    if (purge.object ? *purge.object != q.object : purge.group != q.group) continue;
+    auto& fill = a.order.fill;
+    if (!fill) fill = module::Fill{a.order.server};
+    const Time fresh = settings_.classes[a.order.cls].fresh;
+    const Time before = fill->max_age > 0 ? fill->max_age : fresh;
+    fill->max_age = before > 0 ? std::min(before, age) : age;
+    fill->join = fill->renew = false;
+  }
+}
+
+bool Engine::too_old(const Attempt& a, const Reply& reply) const {
+  if (reply.born <= 0 || !a.written) return false;
+  const auto& c = settings_.classes[a.order.cls];
+  const Time asked = a.order.fill && a.order.fill->max_age > 0 ? a.order.fill->max_age : c.fresh;
+  return asked > 0 && reply.born < a.written - asked - kAgeSlack;
+}
+
+void Engine::count(module::Result result) {
+  using R = module::Result;
+  ++(result == R::ok               ? counters_.attempts_ok
+     : result == R::miss           ? counters_.attempts_miss
+     : result == R::full           ? counters_.attempts_full
+     : result == R::timeout        ? counters_.attempts_timeout
+     : result == R::connect_failed ? counters_.attempts_unconnected
+     : result == R::reset          ? counters_.attempts_reset
+     : result == R::error          ? counters_.attempts_error
+                                   : counters_.attempts_cancelled);
+}
+
+}  // namespace core
--- /dev/null
+++ b/src/core/engine.h
@@ -0,0 +1,148 @@
+// The core: requests, attempts and outcomes, whatever wire they come by. It drives the decision module,
+// keeps the ledger of final answers (exactly one for each request taken), ends attempts that run out of
+// time and maps the Unix clock to the module's time. It knows no socket.
+//
+// A turn: fronts, backend and board put what arrived into the engine; run() hands it all to the module in
+// one go and then carries out what came back, in order. Slices stay valid until run() returns.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <variant>
+#include <vector>
+
+#include "core/counters.h"
+#include "core/deadlines.h"
+#include "walnuttiller/router.h"
+
+namespace core {
+
+namespace module = ::walnuttiller;
+using Ticket = std::uint64_t;     // a request taken
+using AttemptId = std::uint64_t;  // one sending of it
+
+// What a front asks for. The strings are slices of its read buffer.
+struct Demand {
+  std::string_view id, idempotency_key, held_tag, body;
+  std::string_view object_text;  // as it came, to be passed on unchanged
+  std::uint64_t object = 0;
+  std::uint32_t cls = 0, group = 0, part = 0;
+  double size_kb = 0;
+  Time limit = 0;  // until the client gives up, from when it sent the request
+};
+enum class Verdict { served, refused, failed, timed_out };
+struct Answer {
+  Verdict verdict = Verdict::failed;
+  bool unchanged = false;  // the copy that the client holds is the one
+  Time retry_after = 0;
+  std::string_view body, tag;
+};
+class Front {
+ public:
+  virtual ~Front() = default;
+  virtual void answer(Ticket ticket, const Answer& answer) = 0;
+};
+
+// An attempt as the backend is to send it. Read it at the moment of writing: a purge that is heard while a
+// connection comes up still tightens the age.
+struct Order {
+  std::string_view id, idempotency_key, held_tag, body, object_text;  // of the request held
+  std::uint32_t cls = 0, part = 0;
+  module::ServerId server;
+  std::optional<module::Fill> fill;
+  Time deadline = 0;
+};
+struct Reply {
+  module::Result result = module::Result::error;
+  bool unchanged = false;
+  std::string_view body, tag;
+  Time born = 0;  // Unix time at which the origin gave out this copy, 0: not told
+  module::Report report;
+};
+class Backend {
+ public:
+  virtual ~Backend() = default;
+  virtual void send(AttemptId attempt, module::ServerId server) = 0;
+  virtual void abort(AttemptId attempt) = 0;  // gives it up; no reply follows
+  virtual void probe(module::ServerId server) = 0;
+};
+
+class Engine {
+ public:
+  Engine(const module::Settings& settings, std::uint64_t seed, Deadlines& deadlines,
+         std::function<Time()> clock);
+  void attach(Backend& backend) { backend_ = &backend; }
+
+  // From fronts.
+  Ticket take(Front& front, const Demand& demand);
+  void withdraw(Ticket ticket);
+  // From the backend.
+  const Order* order(AttemptId attempt) const;  // null: over already, do not send
+  void written(AttemptId attempt);              // whole
+  void reply(AttemptId attempt, const Reply& reply);
+  void probed(module::ServerId server, bool ok, Time elapsed, const module::Report& report);
+  // From the board.
+  void fleet(module::FleetUpdate update);
+  void purge(std::optional<std::uint64_t> object, std::uint32_t group, Time unix_time);
+
+  void run();
+  Time now();  // never steps back
+  std::size_t held() const { return open_; }
+  std::size_t held_bytes() const { return held_bytes_; }
+  Counters& counters() { return counters_; }
+
+ private:
+  struct Held;
+  struct Attempt;
+  struct Event {
+    module::Event event;
+    Ticket ticket = 0;
+    AttemptId attempt = 0;
+    Reply reply;
+  };
+  struct Serve {
+    Ticket ticket;
+    Front* front;
+    Answer answer;
+  };
+  using Effect = std::variant<Serve, module::Action>;
+
+  void take_in(Event& event);
+  void outcome(Event& event);
+  void ask(const module::Event& event);
+  void carry_out(const Effect& effect);
+  void send(const module::Send& send);
+  void cancel(const module::Cancel& cancel);
+  void give_up(AttemptId attempt, module::Result result);
+  void end(Held& held);
+  void release();
+  void tighten(const module::Purge& purge);
+  bool too_old(const Attempt& attempt, const Reply& reply) const;
+  void count(module::Result result);
+
+  const module::Settings settings_;
+  module::Router router_;
+  Deadlines& deadlines_;
+  std::function<Time()> clock_;
+  Backend* backend_ = nullptr;
+  Time now_ = 0;
+  Counters counters_;
+  std::unordered_map<Ticket, Held> held_;
+  std::unordered_map<AttemptId, Attempt> attempts_;
+  std::vector<Event> urgent_, waiting_;  // board news goes first: it binds the sends of the same turn
+  std::vector<Effect> effects_;
+  std::vector<module::Action> actions_;
+  std::vector<Ticket> ended_;  // to be forgotten once nothing of the batch can name them
+  Ticket last_ticket_ = 0;
+  AttemptId last_attempt_ = 0;
+  std::size_t open_ = 0, held_bytes_ = 0;
+
+ public:
+  ~Engine();
+};
+
+}  // namespace core
--- /dev/null
+++ b/src/net/connection.h
@@ -0,0 +1,109 @@
+// A TCP connection on the loop: a read buffer whose slices live until the turn ends, a bounded write queue,
+// and counts of bytes queued and written. Listeners, addresses and the descriptor budget stand here too.
+#pragma once
+
+#include <netinet/in.h>
+
+#include <cstddef>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+
+#include "net/loop.h"
+
+namespace net {
+
+// "127.0.0.4:4100"; only numeric addresses, there is no DNS.
+std::optional<sockaddr_in> parse_address(std::string_view text);
+std::string to_string(const sockaddr_in& address);
+
+class Fd {
+ public:
+  explicit Fd(int fd = -1) : fd_(fd) {}
+  ~Fd();
+  Fd(Fd&& other) noexcept : fd_(std::exchange(other.fd_, -1)) {}
+  Fd& operator=(Fd&& other) noexcept {
+    std::swap(fd_, other.fd_);
+    return *this;
+  }
+  int get() const { return fd_; }
+
+ private:
+  int fd_;
+};
+
+enum class Closed { by_peer, reset, refused, unreadable };
+
+class Connection {
+ public:
+  struct Handler {
+    // Takes what it can from the front of the bytes; returns how many it has consumed, -1 if unreadable.
+    std::function<std::ptrdiff_t(std::string_view)> on_data;
+    std::function<void()> on_written;      // something left the queue, or the connection came up
+    std::function<void(Closed)> on_close;  // once; the owner then lets go of it after the turn
+    bool half_close = false;               // end of input: on_close(by_peer), but writing may go on
+  };
+  Connection(Loop& loop, Fd fd, bool connecting, Handler handler);
+
+  // Both parts in one go if the queue is empty; only what the socket does not take is copied.
+  void write(std::string_view head, std::string_view body = {}, std::string_view tail = {});
+  void end_turn();  // the slices handed out are over
+  void pause_reading(bool paused);
+  void close();  // ours; no on_close
+
+  bool connecting() const { return connecting_; }
+  bool closed() const { return closed_; }
+  bool input_ended() const { return input_ended_; }
+  std::size_t unwritten() const { return queue_.size() - queue_at_; }
+  std::uint64_t queued_total() const { return queued_total_; }
+  std::uint64_t written_total() const { return queued_total_ - unwritten(); }
+  core::Time last_read = 0;
+
+ private:
+  void ready(int events);
+  void read();
+  void flush();
+  void fail(Closed why);
+  void watch();
+
+  Fd fd_;
+  Handler handler_;
+  bool connecting_, closed_ = false, input_ended_ = false, paused_ = false;
+  std::string in_;
+  std::size_t in_size_ = 0, consumed_ = 0;
+  std::string queue_;
+  std::size_t queue_at_ = 0;
+  std::uint64_t queued_total_ = 0;
+  std::unique_ptr<IoWatcher> watcher_;
+};
+
+// Null if no descriptor is to be had or the address refuses at once.
+std::unique_ptr<Connection> connect(Loop& loop, const sockaddr_in& to, Connection::Handler handler,
+                                    bool* refused = nullptr);
+
+class Listener {
+ public:
+  // Throws std::runtime_error if the address is not to be had.
+  Listener(Loop& loop, core::Deadlines& deadlines, const sockaddr_in& at, std::function<bool()> may_accept,
+           std::function<void(Fd)> on_accept);
+  ~Listener();
+  sockaddr_in address() const;
+  void stop();
+  std::uint64_t put_off = 0;
+
+ private:
+  void accept_some();
+
+  core::Deadlines& deadlines_;
+  Fd fd_;
+  std::function<bool()> may_accept_;
+  std::function<void(Fd)> on_accept_;
+  std::unique_ptr<IoWatcher> watcher_;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+}  // namespace net
--- /dev/null
+++ b/src/platform/caches.cpp
@@ -0,0 +1,304 @@
+#include "platform/caches.h"
+
+#include <algorithm>
+
+#include "platform/lines.h"
+
+namespace platform {
+namespace wt = walnuttiller;
+using core::AttemptId;
+using wt::Result;
+
+namespace {
+
+constexpr core::Time kProbeTime = 250'000, kSweep = 1'000'000;
+constexpr core::Time kSilence = 300'000;  // not a byte for so long while an attempt waited: perhaps dead
+constexpr std::size_t kBurntMost = 512;
+
+}  // namespace
+
+struct Caches::Open {
+  AttemptId attempt = 0;  // 0: a probe
+  core::Time sent = 0;
+  std::uint64_t end = 0;  // of the command, in the connection's count of bytes queued
+  bool written = false;
+  core::Deadlines::Key timeout{};
+};
+struct Caches::Link {
+  Server* server = nullptr;
+  std::unique_ptr<net::Connection> connection;
+  std::unordered_map<std::string, Open> open;
+  std::vector<AttemptId> waiting;  // for the connection to come up
+  std::vector<std::string> probes;
+  // Danger: a late answer to an attempt given up would pass for that of the same request's next one.
+  std::unordered_set<std::string> burnt;
+  core::Deadlines::Key dial{};
+  bool retired = false, dead = false;
+  core::Time used = 0;
+  std::size_t load() const { return open.size() + waiting.size() + probes.size(); }
+};
+struct Caches::Server {
+  config::Member member;
+  sockaddr_in address{};
+  std::vector<std::unique_ptr<Link>> links;
+};
+
+Caches::Caches(net::Loop& loop, core::Deadlines& deadlines, core::Engine& engine,
+               const config::Config& config)
+    : loop_(loop),
+      deadlines_(deadlines),
+      engine_(engine),
+      config_(config),
+      link_limit_(static_cast<std::size_t>(config.sockets) * 2 / 5) {
+  sweep();
+}
+Caches::~Caches() = default;
+
+void Caches::update(const config::Member& member) {
+  auto& slot = servers_[member.server.id];
+  const bool known = slot != nullptr;
+  if (!known) slot = std::make_unique<Server>();
+  Server& s = *slot;
+  const auto address = net::parse_address(member.address);
+  const bool moved = known && member.address != s.member.address;
+  const bool restarted = known && member.server.born > s.member.server.born;
+  s.member = member;
+  if (address) s.address = *address;
+  // A process that started anew knows nothing of what its forerunner was asked.
+  if (moved || restarted)
+    for (auto& link : s.links) lost(*link, net::Closed::reset);
+  if (member.server.status == wt::Status::gone)
+    for (auto& link : s.links) retire(*link);
+}
+
+void Caches::only(const std::vector<config::Member>& members) {
+  for (auto& [id, s] : servers_) {
+    const auto listed = [&, id = id](auto& m) { return m.server.id == id; };
+    if (std::any_of(members.begin(), members.end(), listed)) continue;
+    s->member.server.status = wt::Status::gone;
+    for (auto& link : s->links) retire(*link);
+  }
+}
+
+Caches::Link* Caches::pick(Server& server, std::string_view id) {
+  Link* best = nullptr;
+  const std::string key(id);
+  for (auto& link : server.links) {
+    if (link->dead || link->retired || link->load() >= config_.streams) continue;
+    if (link->burnt.contains(key) || link->open.contains(key)) continue;
+    const auto rank = [](const Link& l) { return std::pair(l.connection->connecting(), l.load()); };
+    if (!best || rank(*link) < rank(*best)) best = link.get();
+  }
+  return best ? best : dial(server);
+}
+
+Caches::Link* Caches::dial(Server& server) {
+  if (link_count_ >= link_limit_) return nullptr;
+  auto link = std::make_unique<Link>();
+  Link* raw = link.get();
+  raw->server = &server;
+  raw->used = engine_.now();
+  net::Connection::Handler handler;
+  handler.on_data = [this, raw](std::string_view bytes) { return take(*raw, bytes); };
+  handler.on_written = [this, raw] { come_up(*raw), mark_written(*raw); };
+  handler.on_close = [this, raw](net::Closed why) { lost(*raw, why); };
+  raw->connection = net::connect(loop_, server.address, std::move(handler));
+  if (!raw->connection) return nullptr;
+  ++link_count_;
+  raw->dial = deadlines_.set(engine_.now() + config_.dial_timeout, [this, raw] {
+    if (raw->connection->connecting()) lost(*raw, net::Closed::refused);
+  });
+  server.links.push_back(std::move(link));
+  return raw;
+}
+
+void Caches::send(AttemptId attempt, wt::ServerId id) {
+  const auto it = servers_.find(id);
+  const core::Order* order = engine_.order(attempt);
+  Link* link = it != servers_.end() && order ? pick(*it->second, order->id) : nullptr;
+  if (!link) return engine_.reply(attempt, {Result::connect_failed, false, {}, {}, 0, {}});
+  where_[attempt] = link;
+  if (link->connection->connecting()) link->waiting.push_back(attempt);
+  else put(*link, attempt);
+}
+
+void Caches::put(Link& link, AttemptId attempt) {
+  const core::Order* order = engine_.order(attempt);
+  if (!order) return;
+  std::string source;
+  if (order->fill && order->fill->source != order->server)
+    if (const auto s = servers_.find(order->fill->source); s != servers_.end())
+      source = s->second->member.name;
+  const auto line = fetch_line(*order, config_.names.classes[order->cls], source, engine_.now());
+  Open& open = link.open[std::string(order->id)];
+  open.attempt = attempt;
+  open.sent = link.used = engine_.now();
+  link.connection->write(line, order->body, "\r\n");
+  open.end = link.connection->queued_total();
+  mark_written(link);
+}
+
+void Caches::come_up(Link& link) {
+  if (link.dial.first == 0 || link.connection->connecting()) return;
+  deadlines_.clear(link.dial);
+  link.dial = {};
+  const auto waiting = std::move(link.waiting);
+  link.waiting.clear();
+  for (const AttemptId attempt : waiting) put(link, attempt);
+  const auto probes = std::move(link.probes);
+  link.probes.clear();
+  for (const auto& tag : probes)
+    if (link.open.contains(tag)) link.connection->write("stats " + tag + "\r\n");
+}
+
+void Caches::mark_written(Link& link) {
+  const auto total = link.connection->written_total();
+  for (auto& [id, open] : link.open) {
+    if (open.written || open.end > total || !open.attempt) continue;
+    open.written = true;
+    engine_.written(open.attempt);
+  }
+}
+
+std::ptrdiff_t Caches::take(Link& link, std::string_view bytes) {
+  const auto before = bytes.size();
+  LineAnswer answer;
+  for (;;) {
+    const auto parsed = next_answer(bytes, answer);
+    if (parsed == Parsed::partial) return static_cast<std::ptrdiff_t>(before - bytes.size());
+    if (parsed == Parsed::unreadable) {
+      ++engine_.counters().bad_answers;
+      return -1;
+    }
+    const auto it = link.open.find(std::string(answer.id));
+    if (it == link.open.end()) {
+      ++engine_.counters().late_answers;
+      continue;
+    }
+    if (!it->second.attempt) {
+      end_probe(link, it->first, answer.word == "green", answer.report);
+      continue;
+    }
+    const AttemptId attempt = it->second.attempt;
+    const auto result = result_of(answer.word);
+    // A word of another answer, or an answer to what was not asked whole: nothing here can be trusted.
+    if (!result || !it->second.written) {
+      ++engine_.counters().bad_answers;
+      return -1;
+    }
+    link.open.erase(it);
+    where_.erase(attempt);
+    link.used = engine_.now();
+    engine_.reply(attempt, {*result, answer.word == "still_good", answer.body, answer.sum, answer.born,
+                            report_of(answer.report)});
+    if (link.retired && link.load() == 0) {
+      drop(link);
+      return static_cast<std::ptrdiff_t>(before - bytes.size());
+    }
+  }
+}
+
+// A refused or hung connect, or a command not written whole, proves that nothing ran.
+void Caches::lost(Link& link, net::Closed) {
+  if (link.dead) return;
+  const auto open = std::move(link.open);
+  const auto waiting = std::move(link.waiting);
+  link.open.clear();
+  link.waiting.clear();
+  drop(link);
+  for (const auto& [id, o] : open) {
+    if (!o.attempt) {
+      deadlines_.clear(o.timeout);
+      engine_.probed(link.server->member.server.id, false, engine_.now() - o.sent, {});
+      continue;
+    }
+    where_.erase(o.attempt);
+    engine_.reply(o.attempt, {o.written ? Result::reset : Result::connect_failed, false, {}, {}, 0, {}});
+  }
+  for (const AttemptId attempt : waiting) {
+    where_.erase(attempt);
+    engine_.reply(attempt, {Result::connect_failed, false, {}, {}, 0, {}});
+  }
+}
+
+void Caches::drop(Link& link) {
+  if (link.dead) return;
+  link.dead = true;
+  if (link.dial.first) deadlines_.clear(link.dial);
+  link.connection->close();
+  --link_count_;
+}
+
+void Caches::retire(Link& link) {
+  link.retired = true;
+  if (!link.dead && link.load() == 0) drop(link);
+}
+
+void Caches::abort(AttemptId attempt) {
+  const auto it = where_.find(attempt);
+  if (it == where_.end()) return;
+  Link& link = *it->second;
+  where_.erase(it);
+  if (std::erase(link.waiting, attempt)) return;
+  const auto found =
+      std::find_if(link.open.begin(), link.open.end(), [&](auto& o) { return o.second.attempt == attempt; });
+  if (found == link.open.end()) return;
+  const std::string id = found->first;
+  const Open open = found->second;
+  link.open.erase(found);
+  // Danger: while the queue is stuck the abort would leave long after the request's next attempt elsewhere.
+  if (link.connection->unwritten() > 0) return lost(link, net::Closed::reset);
+  link.connection->write("abort " + id + "\r\n");
+  link.burnt.insert(id);
+  // Danger: a machine that vanished and came back leaves old connections silent for ever.
+  const core::Time now = engine_.now();
+  const bool silent = link.connection->last_read < open.sent && now - open.sent > kSilence;
+  if (silent || link.burnt.size() > kBurntMost) retire(link);
+}
+
+void Caches::probe(wt::ServerId id) {
+  const auto it = servers_.find(id);
+  const std::string tag = "p" + std::to_string(++last_probe_);
+  Link* link = it == servers_.end() ? nullptr : pick(*it->second, tag);
+  if (!link) return engine_.probed(id, false, 0, {});
+  Open& open = link->open[tag];
+  open.sent = link->used = engine_.now();
+  open.timeout = deadlines_.set(open.sent + kProbeTime, [this, link, tag] {
+    end_probe(*link, tag, false, {});
+    if (link->connection->last_read < engine_.now() - kProbeTime) retire(*link);
+  });
+  if (link->connection->connecting()) link->probes.push_back(tag);
+  else link->connection->write("stats " + tag + "\r\n");
+}
+
+void Caches::end_probe(Link& link, const std::string& tag, bool ok, std::string_view report) {
+  const auto it = link.open.find(tag);
+  if (it == link.open.end()) return;
+  const Open open = it->second;
+  deadlines_.clear(open.timeout);
+  std::erase(link.probes, tag);
+  link.open.erase(it);
+  engine_.probed(link.server->member.server.id, ok, engine_.now() - open.sent, report_of(report));
+}
+
+void Caches::sweep() {
+  const core::Time now = engine_.now();
+  deadlines_.set(now + kSweep, [this] { sweep(); });
+  // Closed before the cache does it: a command that crosses its close might have run.
+  for (auto& [id, s] : servers_)
+    for (auto& link : s->links)
+      if (!link->dead && link->load() == 0 && now > link->used + config_.idle_close * 4 / 5) drop(*link);
+}
+
+void Caches::end_turn() {
+  for (auto& [id, s] : servers_) {
+    for (auto& link : s->links)
+      if (!link->dead) link->connection->end_turn();
+    std::erase_if(s->links, [](auto& link) { return link->dead; });
+  }
+  std::erase_if(servers_, [](auto& e) {
+    return e.second->links.empty() && e.second->member.server.status == wt::Status::gone;
+  });
+}
+
+}  // namespace platform
--- /dev/null
+++ b/src/platform/caches.h
@@ -0,0 +1,63 @@
+// The backend on the platform: connections to caches, parents and the origin, shared by many attempts.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <unordered_set>
+#include <vector>
+
+#include "config/config.h"
+#include "core/engine.h"
+#include "net/connection.h"
+
+namespace platform {
+
+class Caches : public core::Backend {
+ public:
+  Caches(net::Loop& loop, core::Deadlines& deadlines, core::Engine& engine, const config::Config& config);
+  ~Caches() override;
+
+  // What the board tells, before the engine hears of it. Connections are kept by a server's id: a new
+  // machine may have the address of one that has gone.
+  void update(const config::Member& member);
+  void only(const std::vector<config::Member>& members);  // all others are gone
+
+  void send(core::AttemptId attempt, walnuttiller::ServerId server) override;
+  void abort(core::AttemptId attempt) override;
+  void probe(walnuttiller::ServerId server) override;
+
+  void end_turn();
+  std::size_t links() const { return link_count_; }
+
+ private:
+  struct Link;
+  struct Server;
+  struct Open;
+
+  Link* pick(Server& server, std::string_view id);
+  Link* dial(Server& server);
+  void put(Link& link, core::AttemptId attempt);
+  void come_up(Link& link);
+  void mark_written(Link& link);
+  std::ptrdiff_t take(Link& link, std::string_view bytes);
+  void lost(Link& link, net::Closed why);
+  void drop(Link& link);
+  void retire(Link& link);
+  void bury(Link& link);
+  void end_probe(Link& link, const std::string& tag, bool ok, std::string_view report);
+  void sweep();
+
+  net::Loop& loop_;
+  core::Deadlines& deadlines_;
+  core::Engine& engine_;
+  const config::Config& config_;
+  std::map<walnuttiller::ServerId, std::unique_ptr<Server>> servers_;
+  std::unordered_map<core::AttemptId, Link*> where_;
+  std::vector<std::unique_ptr<Link>> graves_;  // until the turn ends: callbacks and slices still refer there
+  std::size_t link_count_ = 0, link_limit_;
+  std::uint64_t last_probe_ = 0;
+};
+
+}  // namespace platform
--- /dev/null
+++ b/src/platform/lines.h
@@ -0,0 +1,27 @@
+// The line protocol to caches, parents and the origin: commands out, answers in. No sockets.
+#pragma once
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "core/engine.h"
+
+namespace platform {
+
+// The line before the body; the body and CR LF follow.
+std::string fetch_line(const core::Order& order, std::string_view lane, std::string_view source,
+                       core::Time now);
+
+struct LineAnswer {
+  std::string_view id, word, body, sum, report;
+  core::Time born = 0;
+};
+enum class Parsed { whole, partial, unreadable };
+// Takes one answer from the front of `bytes`.
+Parsed next_answer(std::string_view& bytes, LineAnswer& answer);
+
+std::optional<walnuttiller::Result> result_of(std::string_view word);
+walnuttiller::Report report_of(std::string_view text);
+
+}  // namespace platform
--- /dev/null
+++ b/src/platform/rpc.cpp
@@ -0,0 +1,182 @@
+#include "platform/rpc.h"
+
+#include <msgpack.h>
+
+#include <charconv>
+#include <cmath>
+#include <memory>
+
+namespace platform {
+namespace {
+
+constexpr std::size_t kMessageMost = 64 << 10;  // a write carries at most 48,000 bytes
+
+std::string_view text(const msgpack_object& o) {
+  if (o.type == MSGPACK_OBJECT_STR) return {o.via.str.ptr, o.via.str.size};
+  if (o.type == MSGPACK_OBJECT_BIN) return {o.via.bin.ptr, o.via.bin.size};
+  return {};
+}
+bool is_text(const msgpack_object& o) { return o.type == MSGPACK_OBJECT_STR || o.type == MSGPACK_OBJECT_BIN; }
+
+// A map of strings to strings; what is not known is passed over.
+bool read_fields(const msgpack_object& map, Call& call) {
+  if (map.type != MSGPACK_OBJECT_MAP) return false;
+  for (std::uint32_t i = 0; i < map.via.map.size; ++i) {
+    const auto& [key, value] = map.via.map.ptr[i];
+    if (!is_text(key) || !is_text(value)) return false;
+    const auto name = text(key);
+    std::string_view* field = name == "txn"      ? &call.txn
+                              : name == "limit"  ? &call.limit
+                              : name == "unique" ? &call.unique
+                              : name == "item"   ? &call.item
+                              : name == "slice"  ? &call.slice
+                              : name == "set"    ? &call.set
+                              : name == "ram"    ? &call.ram
+                              : name == "seen"   ? &call.seen
+                                                 : nullptr;
+    if (field) *field = text(value);
+  }
+  return true;
+}
+
+Parsed read_call(const msgpack_object& o, Call& call) {
+  if (o.type != MSGPACK_OBJECT_ARRAY || o.via.array.size < 3) return Parsed::unreadable;
+  const msgpack_object* part = o.via.array.ptr;
+  const std::size_t size = o.via.array.size;
+  const auto is_number = [](const msgpack_object& x) { return x.type == MSGPACK_OBJECT_POSITIVE_INTEGER; };
+  if (!is_number(part[0])) return Parsed::unreadable;
+  if (part[0].via.u64 == 2 && size == 3) {
+    call.notification = true;
+    call.method = text(part[1]);
+    const auto& args = part[2];
+    call.well_formed =
+        args.type == MSGPACK_OBJECT_ARRAY && args.via.array.size >= 1 && is_number(args.via.array.ptr[0]);
+    if (call.well_formed) call.id = args.via.array.ptr[0].via.u64;
+    return Parsed::whole;
+  }
+  if (part[0].via.u64 != 0 || size != 4 || !is_number(part[1])) return Parsed::unreadable;
+  call.id = part[1].via.u64;
+  call.method = text(part[2]);
+  const auto& args = part[3];
+  if (args.type != MSGPACK_OBJECT_ARRAY || args.via.array.size < 1) return Parsed::whole;
+  call.well_formed = read_fields(args.via.array.ptr[0], call);
+  if (args.via.array.size > 1) {
+    const auto& body = args.via.array.ptr[1];
+    call.well_formed = call.well_formed && (is_text(body) || body.type == MSGPACK_OBJECT_NIL);
+    call.body = text(body);
+  }
+  return Parsed::whole;
+}
+
+template <class T>
+bool number(std::string_view text, T& out, int base = 10) {
+  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), out, base);
+  return error == std::errc() && !text.empty() && end == text.data() + text.size();
+}
+bool number(std::string_view text, double& out) {
+  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), out);
+  return error == std::errc() && !text.empty() && end == text.data() + text.size() && std::isfinite(out);
+}
+// Danger: these pass into lines of words; a space or a comma in one would make another command of it.
+bool plain(std::string_view text) {
+  for (const char c : text)
+    if (!((c >= '0' && c <= '9') || (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || c == '-' || c == '_'))
+      return false;
+  return text.size() <= 64;
+}
+
+class Packer {
+ public:
+  Packer() {
+    msgpack_sbuffer_init(&buffer_);
+    msgpack_packer_init(&packer_, &buffer_, msgpack_sbuffer_write);
+  }
+  ~Packer() { msgpack_sbuffer_destroy(&buffer_); }
+  Packer(const Packer&) = delete;
+  Packer& operator=(const Packer&) = delete;
+  msgpack_packer* get() { return &packer_; }
+  void str(std::string_view s) { msgpack_pack_str_with_body(&packer_, s.data(), s.size()); }
+  std::string out() const { return {buffer_.data ? buffer_.data : "", buffer_.size}; }
+
+ private:
+  msgpack_sbuffer buffer_;
+  msgpack_packer packer_;
+};
+void begin_answer(Packer& p, std::uint64_t id) {
+  msgpack_pack_array(p.get(), 4);
+  msgpack_pack_int(p.get(), 1);
+  msgpack_pack_uint64(p.get(), id);
+}
+
+}  // namespace
+
+Parsed next_call(std::string_view& bytes, Call& call) {
+  call = {};
+  if (bytes.empty()) return Parsed::partial;
+  // Danger: the first byte tells an array of three or four; a false huge length must not claim memory.
+  const auto first = static_cast<unsigned char>(bytes[0]);
+  if (first != 0x93 && first != 0x94) return Parsed::unreadable;
+  msgpack_unpacked unpacked;
+  msgpack_unpacked_init(&unpacked);
+  const std::unique_ptr<msgpack_unpacked, void (*)(msgpack_unpacked*)> guard(&unpacked,
+                                                                             msgpack_unpacked_destroy);
+  std::size_t used = 0;
+  const auto result =
+      msgpack_unpack_next(&unpacked, bytes.data(), std::min(bytes.size(), kMessageMost), &used);
+  if (result == MSGPACK_UNPACK_CONTINUE)
+    return bytes.size() >= kMessageMost ? Parsed::unreadable : Parsed::partial;
+  if (result != MSGPACK_UNPACK_SUCCESS) return Parsed::unreadable;
+  bytes.remove_prefix(used);
+  return read_call(unpacked.data, call);
+}
+
+bool to_demand(const Call& c, core::Demand& d) {
+  double limit = 0;
+  if (!c.well_formed || c.txn.empty() || !plain(c.txn) || !plain(c.unique) || !plain(c.item) ||
+      !plain(c.seen))
+    return false;
+  if (!number(c.limit, limit) || limit < 0 || limit > 1e7 || !number(c.item, d.object, 16)) return false;
+  if (!c.slice.empty() && !number(c.slice, d.part)) return false;
+  if (!c.set.empty() && !number(c.set, d.group)) return false;
+  if (!c.ram.empty() && !number(c.ram, d.size_kb)) return false;
+  d.id = c.txn;
+  d.idempotency_key = c.unique;
+  d.held_tag = c.seen;
+  d.object_text = c.item;
+  d.body = c.body;
+  d.limit = static_cast<core::Time>(limit * 1000);
+  return true;
+}
+
+Encoded encode_answer(std::uint64_t id, const core::Answer& answer) {
+  Packer head, tail;
+  begin_answer(head, id);
+  if (answer.verdict == core::Verdict::served) {
+    msgpack_pack_nil(head.get());
+    msgpack_pack_array(head.get(), 2);
+    msgpack_pack_bin(head.get(), answer.body.size());
+    msgpack_pack_map(tail.get(), answer.unchanged ? 1 : 0);
+    if (answer.unchanged) tail.str("current"), tail.str("1");
+    return {head.out(), tail.out()};
+  }
+  const bool refused = answer.verdict == core::Verdict::refused;
+  const bool later = refused && answer.retry_after > 0;
+  msgpack_pack_array(head.get(), 2);
+  head.str(refused ? "Busy" : "Failed");
+  msgpack_pack_map(head.get(), later ? 1 : 0);
+  if (later) head.str("later"), head.str(std::to_string((answer.retry_after + 999) / 1000));
+  msgpack_pack_nil(head.get());
+  return {head.out(), {}};
+}
+
+std::string encode_status(std::uint64_t id) {
+  Packer p;
+  begin_answer(p, id);
+  msgpack_pack_nil(p.get());
+  msgpack_pack_array(p.get(), 2);
+  msgpack_pack_true(p.get());
+  msgpack_pack_map(p.get(), 0);
+  return p.out();
+}
+
+}  // namespace platform
