--- a/include/walnuttiller/router.h
+++ b/include/alderspur/router.h
@@ -1,4 +1,4 @@
-// walnuttiller: decides, for a proxy in front of tiers of caches, where each request goes.
+// alderspur: decides, for a proxy in front of tiers of caches, where each request goes.
 //
 // Use: make one Router per proxy from Settings and a seed, feed it every event in the order it
 // happened, and carry out the actions it appends, in order, at the same moment. The router owns no
@@ -21,7 +21,7 @@
 #include <variant>
 #include <vector>
 
-namespace walnuttiller {
+namespace alderspur {
 
 using Time = std::int64_t;
 
@@ -213,4 +213,4 @@
   std::unique_ptr<Impl> impl_;
 };
 
-}  // namespace walnuttiller
+}  // namespace alderspur
--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -1,4 +1,4 @@
-// The decision module. Its interface, with units and ordering, is include/walnuttiller/router.h.
+// The decision module. Its interface, with units and ordering, is include/alderspur/router.h.
 // Sections: constants, small tools, state, fleet, views of load, hot sets, source, health, cold ledger,
 // the gate, request life, events. docs/design.md tells what follows the published design and what departs.
 #include <algorithm>
@@ -7,9 +7,9 @@
 #include <map>
 #include <unordered_map>
 
-#include "walnuttiller/router.h"
+#include "alderspur/router.h"
 
-namespace walnuttiller {
+namespace alderspur {
 namespace {
 
 // ---- Constants: every tuned value, with unit and reason ----
@@ -888,4 +888,4 @@
   impl_->handle(now, event, actions);
 }
 
-}  // namespace walnuttiller
+}  // namespace alderspur
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -9,7 +9,7 @@
 #include <sstream>
 
 namespace config {
-namespace wt = walnuttiller;
+namespace al = alderspur;
 using Json = rapidjson::Value;
 
 namespace {
@@ -49,19 +49,19 @@
   return value;
 }
 
-wt::ClassSettings read_class(const Json& c, const Json& domain, std::size_t i) {
-  wt::ClassSettings out;
+al::ClassSettings read_class(const Json& c, const Json& domain, std::size_t i) {
+  al::ClassSettings out;
   out.target = micros(at(c, "target"));
   out.aim_stretch = real(at(c, "aim-stretch"));
   out.worth = real(at(c, "points"), 1);
   const auto repeat = word(at(c, "repeat"));
-  out.repeat = repeat == "safe"    ? wt::Repeat::safe
-               : repeat == "keyed" ? wt::Repeat::keyed
-                                   : wt::Repeat::unsafe;
+  out.repeat = repeat == "safe"    ? al::Repeat::safe
+               : repeat == "keyed" ? al::Repeat::keyed
+                                   : al::Repeat::unsafe;
   const auto scope = word(at(c, "dedup-scope"));
-  out.dedup_scope = scope == "all"    ? wt::DedupScope::all
-                    : scope == "zone" ? wt::DedupScope::location
-                                      : wt::DedupScope::cell;
+  out.dedup_scope = scope == "all"    ? al::DedupScope::all
+                    : scope == "zone" ? al::DedupScope::location
+                                      : al::DedupScope::cell;
   out.dedup_window = micros(at(c, "dedup-window"));
   out.uncached = flag(item(at(domain, "uncached"), i));
   out.fresh = micros(item(at(domain, "lifetime-by-class"), i));
@@ -69,9 +69,9 @@
   return out;
 }
 
-wt::Settings read_settings(const Json& j) {
+al::Settings read_settings(const Json& j) {
   const Json &domain = at(j, "domain"), &limits = at(j, "ceilings"), &rules = at(j, "obligations");
-  wt::Settings s;
+  al::Settings s;
   s.location = {count(at(j, "zone"))};
   s.routers = count(at(j, "replicas-of-me"), 1);
   const Json& routers = at(domain, "instances-by-zone");
@@ -95,10 +95,10 @@
   s.purge_settles = micros(at(domain, "purge-settles"));
   s.stream_kb_per_s = real(at(domain, "stream-kb-per-s"));
   const auto weights = word(at(j, "weights"));
-  s.weights = weights == "nominal" ? wt::WeightKind::nominal
-              : weights == "rough" ? wt::WeightKind::rough
-              : weights == "live"  ? wt::WeightKind::live
-                                   : wt::WeightKind::none;
+  s.weights = weights == "nominal" ? al::WeightKind::nominal
+              : weights == "rough" ? al::WeightKind::rough
+              : weights == "live"  ? al::WeightKind::live
+                                   : al::WeightKind::none;
   s.can_join_fills = flag(at(domain, "merges-fills"));
   s.can_go_straight = flag(at(domain, "straight"));
   s.has_fills = real(at(domain, "source-kind"), -1) >= 0;
@@ -128,20 +128,20 @@
   Member m;
   m.name = word(at(j, "id"));
   m.address = word(at(j, "host_port"));
-  wt::Server& s = m.server;
+  al::Server& s = m.server;
   s.id = server_id(m.name);
   s.location = {place(at(j, "locality"), names.zones)};
   s.cell = {count(at(j, "cell"))};
   const int kind = static_cast<int>(place(at(j, "flavor"), names.kinds));
-  s.role = kind == names.parent_kind   ? wt::Role::parent
-           : kind == names.origin_kind ? wt::Role::origin
-                                       : wt::Role::cache;
+  s.role = kind == names.parent_kind   ? al::Role::parent
+           : kind == names.origin_kind ? al::Role::origin
+                                       : al::Role::cache;
   const auto phase = word(at(j, "phase"));
-  s.status = phase == "in_service"    ? wt::Status::ready
-             : phase == "terminating" ? wt::Status::draining
-                                      : wt::Status::gone;
+  s.status = phase == "in_service"    ? al::Status::ready
+             : phase == "terminating" ? al::Status::draining
+                                      : al::Status::gone;
   s.weight = real(at(j, "size"), 1);
-  s.born = static_cast<wt::Time>(std::clamp(real(at(j, "up_since_ms")), 0.0, 1e14)) * 1000;
+  s.born = static_cast<al::Time>(std::clamp(real(at(j, "up_since_ms")), 0.0, 1e14)) * 1000;
   return m;
 }
 
@@ -167,7 +167,7 @@
 
 }  // namespace
 
-wt::ServerId server_id(std::string_view name) {
+al::ServerId server_id(std::string_view name) {
   std::uint64_t hash = 0xcbf29ce484222325ULL;
   for (const char c : name) hash = (hash ^ static_cast<unsigned char>(c)) * 0x100000001b3ULL;
   return {hash};
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -8,7 +8,7 @@
 #include <string_view>
 #include <vector>
 
-#include "walnuttiller/router.h"
+#include "alderspur/router.h"
 
 namespace config {
 
@@ -22,7 +22,7 @@
   int parent_kind = -1, origin_kind = -1;
 };
 struct Member {
-  walnuttiller::Server server;
+  alderspur::Server server;
   std::string name, address;
 };
 struct Notice {
@@ -41,7 +41,7 @@
   std::uint64_t seed = 0;
   std::size_t memory_mb = 192;
   int sockets = 1024;
-  walnuttiller::Settings settings;
+  alderspur::Settings settings;
   Names names;
   std::int64_t dial_timeout = 400'000, idle_close = 30'000'000;
   std::size_t streams = 32;
@@ -55,6 +55,6 @@
 // Empty if the line is no notice that this version understands.
 std::optional<Notice> read_notice(std::string_view line, const Names& names);
 // The same id gives the same number at every router: rendezvous hashes must agree.
-walnuttiller::ServerId server_id(std::string_view name);
+alderspur::ServerId server_id(std::string_view name);
 
 }  // namespace config
--- a/src/core/engine.h
+++ b/src/core/engine.h
@@ -15,13 +15,13 @@
 #include <variant>
 #include <vector>
 
+#include "alderspur/router.h"
 #include "core/counters.h"
 #include "core/deadlines.h"
-#include "walnuttiller/router.h"
 
 namespace core {
 
-namespace module = ::walnuttiller;
+namespace module = ::alderspur;
 using Ticket = std::uint64_t;     // a request taken
 using AttemptId = std::uint64_t;  // one sending of it
 
--- a/src/platform/board.cpp
+++ b/src/platform/board.cpp
@@ -1,7 +1,7 @@
 #include "platform/board.h"
 
 namespace platform {
-namespace wt = walnuttiller;
+namespace al = alderspur;
 
 namespace {
 
@@ -32,7 +32,7 @@
   if (ahead_.size() > kAheadMost) held_ = *ahead_.begin(), ahead_.erase(ahead_.begin());
   if (n.pool) {
     if (n.complete) caches_.only(n.members);
-    wt::FleetUpdate update;
+    al::FleetUpdate update;
     update.full = n.complete;
     for (const auto& m : n.members) {
       caches_.update(m);
--- a/src/platform/caches.cpp
+++ b/src/platform/caches.cpp
@@ -5,9 +5,9 @@
 #include "platform/lines.h"
 
 namespace platform {
-namespace wt = walnuttiller;
+namespace al = alderspur;
+using al::Result;
 using core::AttemptId;
-using wt::Result;
 
 namespace {
 
@@ -67,7 +67,7 @@
   // A process that started anew knows nothing of what its forerunner was asked.
   if (moved || restarted)
     for (auto& link : s.links) lost(*link, net::Closed::reset);
-  if (member.server.status == wt::Status::gone)
+  if (member.server.status == al::Status::gone)
     for (auto& link : s.links) retire(*link);
 }
 
@@ -75,7 +75,7 @@
   for (auto& [id, s] : servers_) {
     const auto listed = [&, id = id](auto& m) { return m.server.id == id; };
     if (std::any_of(members.begin(), members.end(), listed)) continue;
-    s->member.server.status = wt::Status::gone;
+    s->member.server.status = al::Status::gone;
     for (auto& link : s->links) retire(*link);
   }
 }
@@ -112,7 +112,7 @@
   return raw;
 }
 
-void Caches::send(AttemptId attempt, wt::ServerId id) {
+void Caches::send(AttemptId attempt, al::ServerId id) {
   const auto it = servers_.find(id);
   const core::Order* order = engine_.order(attempt);
   Link* link = it != servers_.end() && order ? pick(*it->second, order->id) : nullptr;
@@ -256,9 +256,10 @@
   if (silent || link.burnt.size() > kBurntMost) retire(link);
 }
 
-void Caches::probe(wt::ServerId id) {
+void Caches::probe(al::ServerId id) {
   const auto it = servers_.find(id);
-  const std::string tag = "p" + std::to_string(++last_probe_);
+  std::string tag("p");
+  tag += std::to_string(++last_probe_);
   Link* link = it == servers_.end() ? nullptr : pick(*it->second, tag);
   if (!link) return engine_.probed(id, false, 0, {});
   Open& open = link->open[tag];
@@ -297,7 +298,7 @@
     std::erase_if(s->links, [](auto& link) { return link->dead; });
   }
   std::erase_if(servers_, [](auto& e) {
-    return e.second->links.empty() && e.second->member.server.status == wt::Status::gone;
+    return e.second->links.empty() && e.second->member.server.status == al::Status::gone;
   });
 }
 
--- a/src/platform/caches.h
+++ b/src/platform/caches.h
@@ -24,9 +24,9 @@
   void update(const config::Member& member);
   void only(const std::vector<config::Member>& members);  // all others are gone
 
-  void send(core::AttemptId attempt, walnuttiller::ServerId server) override;
+  void send(core::AttemptId attempt, alderspur::ServerId server) override;
   void abort(core::AttemptId attempt) override;
-  void probe(walnuttiller::ServerId server) override;
+  void probe(alderspur::ServerId server) override;
 
   void end_turn();
   std::size_t links() const { return link_count_; }
@@ -53,7 +53,7 @@
   core::Deadlines& deadlines_;
   core::Engine& engine_;
   const config::Config& config_;
-  std::map<walnuttiller::ServerId, std::unique_ptr<Server>> servers_;
+  std::map<alderspur::ServerId, std::unique_ptr<Server>> servers_;
   std::unordered_map<core::AttemptId, Link*> where_;
   std::vector<std::unique_ptr<Link>> graves_;  // until the turn ends: callbacks and slices still refer there
   std::size_t link_count_ = 0, link_limit_;
--- a/src/platform/lines.cpp
+++ b/src/platform/lines.cpp
@@ -89,8 +89,8 @@
   return Parsed::whole;
 }
 
-std::optional<walnuttiller::Result> result_of(std::string_view word) {
-  using R = walnuttiller::Result;
+std::optional<alderspur::Result> result_of(std::string_view word) {
+  using R = alderspur::Result;
   if (word == "served" || word == "still_good") return R::ok;
   if (word == "not_here") return R::miss;
   if (word == "overload") return R::full;
@@ -99,8 +99,8 @@
   return {};
 }
 
-walnuttiller::Report report_of(std::string_view text) {
-  walnuttiller::Report r;
+alderspur::Report report_of(std::string_view text) {
+  alderspur::Report r;
   while (!text.empty()) {
     std::string_view value = cut(text, ';');
     const auto name = cut(value, ':');
--- a/src/platform/lines.h
+++ b/src/platform/lines.h
@@ -21,7 +21,7 @@
 // Takes one answer from the front of `bytes`.
 Parsed next_answer(std::string_view& bytes, LineAnswer& answer);
 
-std::optional<walnuttiller::Result> result_of(std::string_view word);
-walnuttiller::Report report_of(std::string_view text);
+std::optional<alderspur::Result> result_of(std::string_view word);
+alderspur::Report report_of(std::string_view text);
 
 }  // namespace platform
--- a/src/simhost/codec.cpp
+++ b/src/simhost/codec.cpp
@@ -7,7 +7,7 @@
 #include <set>
 
 namespace simhost {
-namespace wt = walnuttiller;
+namespace al = alderspur;
 using nlohmann::json;
 
 namespace {
@@ -34,7 +34,7 @@
   std::uint32_t u32() { return number<std::uint32_t>(); }
   std::uint64_t u64() { return number<std::uint64_t>(); }
   float f32() { return std::bit_cast<float>(u32()); }
-  wt::ServerId store() {
+  al::ServerId store() {
     const std::uint64_t address = u32(), port = u16();
     return {address | port << 32};
   }
@@ -59,10 +59,10 @@
   void u16(std::uint16_t v) { number(v); }
   void u32(std::uint32_t v) { number(v); }
   void u64(std::uint64_t v) { number(v); }
-  void span(wt::Time v) {
-    u32(static_cast<std::uint32_t>(std::clamp<wt::Time>(v, 0, std::numeric_limits<std::int32_t>::max())));
+  void span(al::Time v) {
+    u32(static_cast<std::uint32_t>(std::clamp<al::Time>(v, 0, std::numeric_limits<std::int32_t>::max())));
   }
-  void store(wt::ServerId id) {
+  void store(al::ServerId id) {
     u32(static_cast<std::uint32_t>(id.value & 0xffffffff));
     u16(static_cast<std::uint16_t>(id.value >> 32));
   }
@@ -77,9 +77,9 @@
   return it == j.end() ? kNothing : *it;
 }
 double real(const json& j, double absent = 0) { return j.is_number() ? j.get<double>() : absent; }
-wt::Time micros(const json& j) {
+al::Time micros(const json& j) {
   const double v = real(j);
-  return std::isfinite(v) ? static_cast<wt::Time>(std::clamp(v, 0.0, 1e15)) : 0;
+  return std::isfinite(v) ? static_cast<al::Time>(std::clamp(v, 0.0, 1e15)) : 0;
 }
 std::uint32_t count(const json& j, std::uint32_t absent = 0) {
   return j.is_number() ? static_cast<std::uint32_t>(std::clamp(real(j), 0.0, 4e9)) : absent;
@@ -91,19 +91,19 @@
   return j.is_array() && i < j.size() ? j[i] : kNothing;
 }
 
-wt::ClassSettings read_class(const json& c, const json& domain, std::size_t i) {
-  wt::ClassSettings out;
+al::ClassSettings read_class(const json& c, const json& domain, std::size_t i) {
+  al::ClassSettings out;
   out.target = micros(at(c, "target"));
   out.aim_stretch = real(at(c, "aim-stretch"));
   out.worth = real(at(c, "points"), 1);
   const auto repeat = word(at(c, "repeat"));
-  out.repeat = repeat == "safe"    ? wt::Repeat::safe
-               : repeat == "keyed" ? wt::Repeat::keyed
-                                   : wt::Repeat::unsafe;
+  out.repeat = repeat == "safe"    ? al::Repeat::safe
+               : repeat == "keyed" ? al::Repeat::keyed
+                                   : al::Repeat::unsafe;
   const auto scope = word(at(c, "dedup-scope"));
-  out.dedup_scope = scope == "all"    ? wt::DedupScope::all
-                    : scope == "zone" ? wt::DedupScope::location
-                                      : wt::DedupScope::cell;
+  out.dedup_scope = scope == "all"    ? al::DedupScope::all
+                    : scope == "zone" ? al::DedupScope::location
+                                      : al::DedupScope::cell;
   out.dedup_window = micros(at(c, "dedup-window"));
   out.uncached = flag(item(at(domain, "uncached"), i));
   out.fresh = micros(item(at(domain, "lifetime-by-class"), i));
@@ -120,9 +120,9 @@
           static_cast<int>(real(at(domain, "source-kind"), -1))};
 }
 
-wt::Settings settings_of(const json& j) {
+al::Settings settings_of(const json& j) {
   const json &domain = at(j, "domain"), &limits = at(j, "ceilings"), &rules = at(j, "obligations");
-  wt::Settings s;
+  al::Settings s;
   s.location = {count(at(j, "zone"))};
   s.routers = count(at(j, "replicas-of-me"), 1);
   for (const auto& v : at(domain, "instances-by-zone")) s.routers_by_location.push_back(count(v));
@@ -143,10 +143,10 @@
   s.purge_settles = micros(at(domain, "purge-settles"));
   s.stream_kb_per_s = real(at(domain, "stream-kb-per-s"));
   const auto weights = word(at(j, "weights"));
-  s.weights = weights == "nominal" ? wt::WeightKind::nominal
-              : weights == "rough" ? wt::WeightKind::rough
-              : weights == "live"  ? wt::WeightKind::live
-                                   : wt::WeightKind::none;
+  s.weights = weights == "nominal" ? al::WeightKind::nominal
+              : weights == "rough" ? al::WeightKind::rough
+              : weights == "live"  ? al::WeightKind::live
+                                   : al::WeightKind::none;
   s.can_join_fills = flag(at(domain, "merges-fills"));
   s.can_go_straight = flag(at(domain, "straight"));
   s.has_fills = domain.is_object() && read_kinds(domain).origin >= 0;
@@ -161,60 +161,60 @@
   return j;
 }
 
-wt::Result result_of(std::uint16_t disposition) {
+al::Result result_of(std::uint16_t disposition) {
   switch (disposition) {
     case 0:
-      return wt::Result::ok;
+      return al::Result::ok;
     case 8:
-      return wt::Result::full;
+      return al::Result::full;
     case 4:
-      return wt::Result::timeout;
+      return al::Result::timeout;
     case 14:
-      return wt::Result::connect_failed;
+      return al::Result::connect_failed;
     case 10:
-      return wt::Result::reset;
+      return al::Result::reset;
     case 1:
-      return wt::Result::cancelled;
+      return al::Result::cancelled;
     case 9:
-      return wt::Result::moot;
+      return al::Result::moot;
     case 5:
-      return wt::Result::miss;
+      return al::Result::miss;
     default:
-      return wt::Result::error;  // 13, and what this version does not know: it may have run
+      return al::Result::error;  // 13, and what this version does not know: it may have run
   }
 }
 
-void write_action(Writer& w, std::uint32_t who, const wt::Action& action) {
+void write_action(Writer& w, std::uint32_t who, const al::Action& action) {
   const auto head = [&](std::uint8_t code) {
     w.u8(code);
     w.u32(who);
   };
-  if (const auto* send = std::get_if<wt::Send>(&action)) {
+  if (const auto* send = std::get_if<al::Send>(&action)) {
     head(send->fill ? 4 : 5);
     w.u64(send->id.value);
     w.store(send->server);
-    w.span(std::max<wt::Time>(send->timeout, 1));
+    w.span(std::max<al::Time>(send->timeout, 1));
     if (!send->fill) return;
     w.store(send->fill->source);
     w.u8(static_cast<std::uint8_t>(send->fill->keep));
     w.span(send->fill->max_age);
     w.u8(static_cast<std::uint8_t>((send->fill->join ? 1 : 0) | (send->fill->held_only ? 2 : 0) |
                                    (send->fill->renew ? 8 : 0)));
-  } else if (const auto* refuse = std::get_if<wt::Refuse>(&action)) {
+  } else if (const auto* refuse = std::get_if<al::Refuse>(&action)) {
     head(3);
     w.u64(refuse->id.value);
     w.span(refuse->retry_after);
-  } else if (const auto* fail = std::get_if<wt::Fail>(&action)) {
+  } else if (const auto* fail = std::get_if<al::Fail>(&action)) {
     head(8);
     w.u64(fail->id.value);
-  } else if (const auto* cancel = std::get_if<wt::Cancel>(&action)) {
+  } else if (const auto* cancel = std::get_if<al::Cancel>(&action)) {
     head(12);
     w.u64(cancel->id.value);
     w.u8(static_cast<std::uint8_t>(cancel->attempt.value));
-  } else if (const auto* probe = std::get_if<wt::Probe>(&action)) {
+  } else if (const auto* probe = std::get_if<al::Probe>(&action)) {
     head(7);
     w.store(probe->server);
-  } else if (const auto* timer = std::get_if<wt::SetTimer>(&action)) {
+  } else if (const auto* timer = std::get_if<al::SetTimer>(&action)) {
     head(10);
     w.u32(timer->timer.value);
     w.u64(static_cast<std::uint64_t>(timer->at));
@@ -227,12 +227,12 @@
 }  // namespace
 
 struct Host::Instance {
-  wt::Router router;
+  al::Router router;
   Kinds kinds;
   std::vector<std::string> fields;
 
-  wt::Report report(const std::vector<float>& gauge) const {
-    wt::Report r;
+  al::Report report(const std::vector<float>& gauge) const {
+    al::Report r;
     for (std::size_t i = 0; i < gauge.size() && i < fields.size(); ++i) {
       if (!std::isfinite(gauge[i])) continue;
       if (fields[i] == "outstanding") r.inflight = gauge[i];
@@ -253,17 +253,17 @@
   h.clock = r.u64();
   h.records = r.u32();
   h.number = r.u32();
-  if (h.clock > static_cast<std::uint64_t>(std::numeric_limits<wt::Time>::max() / 4))
+  if (h.clock > static_cast<std::uint64_t>(std::numeric_limits<al::Time>::max() / 4))
     throw WireError("the clock is out of range");
   return h;
 }
 
-wt::Settings read_settings(std::string_view text) { return settings_of(parse_settings(text)); }
+al::Settings read_settings(std::string_view text) { return settings_of(parse_settings(text)); }
 
 std::string Host::answer(const BatchHeader& header, std::string_view body) {
   Reader r(body);
-  const auto now = static_cast<wt::Time>(header.clock);
-  std::vector<wt::Action> actions;
+  const auto now = static_cast<al::Time>(header.clock);
+  std::vector<al::Action> actions;
   std::map<std::uint32_t, Writer> replies;  // an instance that is killed later in the batch acts no more
 
   for (std::uint32_t n = 0; n < header.records; ++n) {
@@ -279,11 +279,11 @@
         l.kind = r.u8();
         l.server.cell = {r.u16()};
         const auto readiness = r.u8();
-        l.server.status = readiness == 1   ? wt::Status::ready
-                          : readiness == 2 ? wt::Status::draining
-                                           : wt::Status::gone;
+        l.server.status = readiness == 1   ? al::Status::ready
+                          : readiness == 2 ? al::Status::draining
+                                           : al::Status::gone;
         l.server.weight = r.f32();
-        l.server.born = static_cast<wt::Time>(std::min<std::uint64_t>(r.u64(), 1ULL << 60));
+        l.server.born = static_cast<al::Time>(std::min<std::uint64_t>(r.u64(), 1ULL << 60));
         list.push_back(l);
       }
       lists_[id] = std::move(list);
@@ -292,7 +292,7 @@
     const auto who = r.u32();
     const auto it = instances_.find(who);
     Instance* instance = it == instances_.end() ? nullptr : &it->second;
-    wt::Event event = wt::ClientLeft{};
+    al::Event event = al::ClientLeft{};
     switch (code) {
       case 1: {
         const auto seed = r.u64();
@@ -301,7 +301,7 @@
         for (const auto& f : at(at(j, "load-report"), "fields")) fields.push_back(word(f));
         replies.erase(who);
         instances_.insert_or_assign(
-            who, Instance{wt::Router(settings_of(j), seed), read_kinds(at(j, "domain")), std::move(fields)});
+            who, Instance{al::Router(settings_of(j), seed), read_kinds(at(j, "domain")), std::move(fields)});
         continue;
       }
       case 10:
@@ -312,7 +312,7 @@
         const auto mode = r.u8();
         r.u32();
         const auto list = r.u32();
-        wt::FleetUpdate update;
+        al::FleetUpdate update;
         update.full = mode == 1 || mode == 2;
         update.failed = mode > 2;
         if (!update.failed) {
@@ -320,8 +320,8 @@
           if (found == lists_.end()) throw WireError("a membership names a list that was not sent");
           for (const auto& l : found->second) {
             auto server = l.server;
-            if (instance && l.kind == instance->kinds.parent) server.role = wt::Role::parent;
-            if (instance && l.kind == instance->kinds.origin) server.role = wt::Role::origin;
+            if (instance && l.kind == instance->kinds.parent) server.role = al::Role::parent;
+            if (instance && l.kind == instance->kinds.origin) server.role = al::Role::origin;
             update.servers.push_back(server);
           }
         }
@@ -329,7 +329,7 @@
         break;
       }
       case 3: {
-        wt::Request q;
+        al::Request q;
         q.id = {r.u64()};
         const float part = r.f32();
         q.part = part >= 0 && part < 1e9f ? static_cast<std::uint32_t>(part) : 0;
@@ -345,18 +345,18 @@
         break;
       }
       case 4: {
-        const wt::RequestId id{r.u64()};
-        const wt::AttemptNo attempt{r.u8()};
+        const al::RequestId id{r.u64()};
+        const al::AttemptNo attempt{r.u8()};
         r.store();
         r.u32();
-        event = wt::StreamBegun{id, attempt};
+        event = al::StreamBegun{id, attempt};
         break;
       }
       case 5: {
-        wt::Outcome o;
+        al::Outcome o;
         o.id = {r.u64()};
         const auto note = r.u32();
-        o.note = note <= 10 ? static_cast<wt::Note>(note) : wt::Note::none;
+        o.note = note <= 10 ? static_cast<al::Note>(note) : al::Note::none;
         o.result = result_of(r.u16());
         o.server = r.store();
         o.finished = r.u8() != 0;
@@ -369,13 +369,13 @@
         break;
       }
       case 6:
-        event = wt::ClientLeft{{r.u64()}};
+        event = al::ClientLeft{{r.u64()}};
         break;
       case 7:
-        event = wt::TimerDue{{r.u32()}};
+        event = al::TimerDue{{r.u32()}};
         break;
       case 8: {
-        wt::Probed p;
+        al::Probed p;
         p.server = r.store();
         p.ok = r.u16() == 0;
         p.elapsed = r.u32();
@@ -389,9 +389,9 @@
         r.take(r.u16());
         continue;
       case 11: {
-        wt::Purge p;
+        al::Purge p;
         const auto object = r.u64();
-        if (object != 0) p.object = wt::ObjectId{object};
+        if (object != 0) p.object = al::ObjectId{object};
         p.group = {r.u16()};
         p.since = r.u32();
         event = p;
--- a/src/simhost/codec.h
+++ b/src/simhost/codec.h
@@ -8,7 +8,7 @@
 #include <string_view>
 #include <vector>
 
-#include "walnuttiller/router.h"
+#include "alderspur/router.h"
 
 namespace simhost {
 
@@ -27,7 +27,7 @@
 BatchHeader read_header(std::string_view bytes);
 
 // Settings as the wire states them. Throws WireError if they are not a JSON object or lack a class list.
-walnuttiller::Settings read_settings(std::string_view json);
+alderspur::Settings read_settings(std::string_view json);
 
 // Hosts the instances that the frames speak of. Instances share nothing but the numbered lists.
 class Host {
@@ -42,7 +42,7 @@
  private:
   struct Instance;
   struct Listed {
-    walnuttiller::Server server;
+    alderspur::Server server;
     std::uint8_t kind = 0;
   };
   std::map<std::uint32_t, Instance> instances_;
--- a/src/simhost/main.cpp
+++ b/src/simhost/main.cpp
@@ -1,4 +1,4 @@
-// walnuttiller_simhost: batches on standard input, one reply each on standard output.
+// alderspur_simhost: batches on standard input, one reply each on standard output.
 #include <cstdio>
 #include <exception>
 #include <string>
@@ -43,7 +43,7 @@
   try {
     return serve();
   } catch (const std::exception& e) {
-    std::fprintf(stderr, "walnuttiller_simhost: %s\n", e.what());
+    std::fprintf(stderr, "alderspur_simhost: %s\n", e.what());
     return 1;
   }
 }
--- a/tests/embed/embed.cpp
+++ b/tests/embed/embed.cpp
@@ -1,40 +1,40 @@
 // The README's example: a router from settings, a fleet, a request, its outcome, and the actions.
-#include <walnuttiller/router.h>
+#include <alderspur/router.h>
 
 #include <cstdio>
 
-namespace wt = walnuttiller;
+namespace al = alderspur;
 
 int main() {
-  wt::Settings settings;
-  wt::ClassSettings pages;
+  al::Settings settings;
+  al::ClassSettings pages;
   pages.target = 250'000;
   settings.classes = {pages};
   settings.max_attempts = 3;
   settings.has_fills = settings.can_join_fills = true;
-  wt::Router router(settings, 42);
+  al::Router router(settings, 42);
 
-  wt::Time now = 1'000'000;
-  std::vector<wt::Action> actions;
-  const wt::Server cache{{1}, wt::Role::cache, {0}, {0}, wt::Status::ready, 1, 0};
-  const wt::Server origin{{9}, wt::Role::origin, {0}, {0}, wt::Status::ready, 1, 0};
-  router.handle(now, wt::FleetUpdate{true, false, {cache, origin}}, actions);
-  router.handle(now, wt::Request{{7}, {1234}, {0}, {0}, 0, 80, 2'500'000, false}, actions);
+  al::Time now = 1'000'000;
+  std::vector<al::Action> actions;
+  const al::Server cache{{1}, al::Role::cache, {0}, {0}, al::Status::ready, 1, 0};
+  const al::Server origin{{9}, al::Role::origin, {0}, {0}, al::Status::ready, 1, 0};
+  router.handle(now, al::FleetUpdate{true, false, {cache, origin}}, actions);
+  router.handle(now, al::Request{{7}, {1234}, {0}, {0}, 0, 80, 2'500'000, false}, actions);
 
   int sent = 0;
   for (const auto& action : actions) {
-    if (const auto* send = std::get_if<wt::Send>(&action)) {
+    if (const auto* send = std::get_if<al::Send>(&action)) {
       ++sent;
       std::printf("ask server %llu, fill from %llu\n", static_cast<unsigned long long>(send->server.value),
                   static_cast<unsigned long long>(send->fill ? send->fill->source.value : 0));
-    } else if (const auto* timer = std::get_if<wt::SetTimer>(&action)) {
+    } else if (const auto* timer = std::get_if<al::SetTimer>(&action)) {
       std::printf("wake at %lld us\n", static_cast<long long>(timer->at));
     }
   }
-  wt::Outcome outcome;
+  al::Outcome outcome;
   outcome.id = {7};
   outcome.server = {1};
-  outcome.note = wt::Note::hit;
+  outcome.note = al::Note::hit;
   outcome.finished = true;
   outcome.elapsed = 12'000;
   router.handle(now + 12'000, outcome, actions);
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -1,5 +1,5 @@
 // The module by its events and actions alone.
-#include "walnuttiller/router.h"
+#include "alderspur/router.h"
 
 #include <gtest/gtest.h>
 
@@ -8,7 +8,7 @@
 #include <string>
 
 namespace {
-using namespace walnuttiller;
+using namespace alderspur;
 
 constexpr Time ms = 1000, second = 1000 * ms;
 constexpr Time kStart = 100 * second;
