--- a/src/config/config.h
+++ b/src/config/config.h
@@ -19,6 +19,7 @@
 // What the settings say beside what the decisions need.
 struct Names {
   std::vector<std::string> zones, kinds, classes;
+  std::vector<std::int64_t> give_up;  // by class, microseconds
   int parent_kind = -1, origin_kind = -1;
 };
 struct Member {
@@ -49,7 +50,27 @@
   std::vector<Notice> notices;
 };
 
+// The signed front's own file.
+struct Signed {
+  struct Key {
+    std::string id, secret;
+    std::int64_t until = 0;  // Unix seconds, 0: no end
+  };
+  struct Route {
+    std::string prefix;  // "/asset/"
+    std::uint32_t cls = 0;
+    std::int64_t limit = 0;  // microseconds
+  };
+  bool enabled = false;
+  std::string listen, cookie = "alderspur";
+  std::int64_t skew_s = 5;
+  std::vector<Key> keys;
+  std::vector<Route> routes;
+};
+
 // Throws Error with one plain line.
+Signed read_signed(std::string_view text, const Config& config);
+std::string read_text(const std::string& path);
 Config read(std::string_view text);
 Config read_file(const std::string& path);
 // Empty if the line is no notice that this version understands.
--- a/src/core/engine.cpp
+++ b/src/core/engine.cpp
@@ -157,8 +157,8 @@
   if (o.result == module::Result::ok && held.open) {
     ++counters_.served;
     if (e.reply.unchanged) ++counters_.unchanged;
-    effects_.push_back(
-        Serve{e.ticket, held.front, {Verdict::served, e.reply.unchanged, 0, e.reply.body, e.reply.tag}});
+    effects_.push_back(Serve{
+        e.ticket, held.front, {Verdict::served, e.reply.unchanged, 0, e.reply.body, e.reply.tag, false}});
     end(held);
   }
   o.finished = !held.open;
@@ -181,10 +181,10 @@
     const auto it = held_.find(refuse ? refuse->id.value : fail->id.value);
     if (it == held_.end() || !it->second.open) continue;
     Held& held = it->second;
-    const bool late = now_ >= held.deadline;
     ++(refuse ? counters_.refused : counters_.failed);
     Answer answer;
-    answer.verdict = refuse ? Verdict::refused : late ? Verdict::timed_out : Verdict::failed;
+    answer.verdict = refuse ? Verdict::refused : Verdict::failed;
+    answer.late = now_ >= held.deadline;
     answer.retry_after = refuse ? refuse->retry_after : 0;
     effects_.push_back(Serve{it->first, held.front, answer});
     end(held);
--- a/src/core/engine.h
+++ b/src/core/engine.h
@@ -34,12 +34,13 @@
   double size_kb = 0;
   Time limit = 0;  // until the client gives up, from when it sent the request
 };
-enum class Verdict { served, refused, failed, timed_out };
+enum class Verdict { served, refused, failed };
 struct Answer {
   Verdict verdict = Verdict::failed;
   bool unchanged = false;  // the copy that the client holds is the one
   Time retry_after = 0;
   std::string_view body, tag;
+  bool late = false;  // not served because its time ran out
 };
 class Front {
  public:
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -3,6 +3,7 @@
 #include <cstdio>
 #include <cstdlib>
 #include <exception>
+#include <memory>
 #include <string>
 
 #include "config/config.h"
@@ -11,6 +12,7 @@
 #include "platform/board.h"
 #include "platform/caches.h"
 #include "platform/rpc_front.h"
+#include "signed/http_front.h"
 
 namespace {
 
@@ -47,6 +49,10 @@
   if (path.empty()) throw config::Error("RELAY_CONFIG names no configuration");
   auto config = config::read_file(path);
   if (const auto listen = variable("RELAY_LISTEN"); !listen.empty()) config.listen = listen;
+  const std::string signed_path = variable("ALDERSPUR_SIGNED");
+  const auto signed_settings = config::read_signed(
+      config::read_text(signed_path.empty() ? "deploy/signed.json" : signed_path), config);
+  if (signed_settings.enabled) address(signed_settings.listen, "signed front's listen");
 
   core::Deadlines deadlines;
   net::Loop loop(deadlines);
@@ -57,6 +63,10 @@
   engine.run();  // what is known comes before the first status
   platform::RpcFront front(loop, deadlines, engine, address(config.listen, "listen"), config.names.classes,
                            static_cast<std::size_t>(config.sockets) / 2, (config.memory_mb << 20) / 4);
+  std::unique_ptr<signed_urls::HttpFront> links;
+  if (signed_settings.enabled)
+    links = std::make_unique<signed_urls::HttpFront>(loop, deadlines, engine, config, signed_settings,
+                                                     net::unix_now);
 
   core::Time leave_at = 0;
   const auto print_counters = [&] {
@@ -66,7 +76,9 @@
   loop.on_signal(SIGTERM, [&] {
     if (leave_at) return;
     leave_at = engine.now() + kLinger;
-    deadlines.set(leave_at, [] {});
+    deadlines.set(leave_at, [&] {
+      if (links) links->begin_leaving(), links->stop_listening();
+    });
   });
   loop.on_signal(SIGINT, [&] { loop.stop(); });
   loop.on_signal(SIGUSR1, print_counters);
@@ -74,10 +86,12 @@
     deadlines.sweep(engine.now());
     engine.run();
     front.end_turn();
+    if (links) links->end_turn();
     caches.end_turn();
     board.end_turn();
     engine.run();  // clients and servers let go of just now
     if (!leave_at || engine.now() < leave_at || engine.held() > 0 || !front.idle()) return;
+    if (links && !links->idle()) return;
     loop.stop();
   });
   loop.run();
--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -79,12 +79,10 @@
 void Connection::fail(Closed why) {
   if (closed_) return;
   const auto on_close = handler_.on_close;
-  const auto left = unwritten();
   closed_ = true;
   watcher_->want(0);
   fd_ = Fd();
   if (on_close) on_close(why);
-  (void)left;
 }
 
 void Connection::ready(int events) {
@@ -129,6 +127,18 @@
   consumed_ = static_cast<std::size_t>(taken);
 }
 
+bool Connection::feed_again() {
+  if (closed_ || consumed_ || in_size_ == 0) return false;
+  const auto taken = handler_.on_data(std::string_view(in_.data(), in_size_));
+  if (taken < 0) fail(Closed::unreadable);
+  consumed_ = taken > 0 ? static_cast<std::size_t>(taken) : 0;
+  return consumed_ > 0;
+}
+
+void Connection::finish() {
+  if (!closed_) ::shutdown(fd_.get(), SHUT_WR);
+}
+
 void Connection::end_turn() {
   if (!consumed_) return;
   std::memmove(in_.data(), in_.data() + consumed_, in_size_ - consumed_);
--- a/src/net/connection.h
+++ b/src/net/connection.h
@@ -51,9 +51,11 @@
 
   // Both parts in one go if the queue is empty; only what the socket does not take is copied.
   void write(std::string_view head, std::string_view body = {}, std::string_view tail = {});
-  void end_turn();  // the slices handed out are over
+  void end_turn();    // the slices handed out are over
+  bool feed_again();  // offers what was left to on_data once more; true if some of it was taken
   void pause_reading(bool paused);
-  void close();  // ours; no on_close
+  void finish();  // ends our side; what the peer still sends is read
+  void close();   // ours; no on_close
 
   bool connecting() const { return connecting_; }
   bool closed() const { return closed_; }
--- a/src/platform/rpc_front.cpp
+++ b/src/platform/rpc_front.cpp
@@ -85,12 +85,12 @@
   const auto cls = classes_.find(std::string(c.method));
   if (cls == classes_.end() || !to_demand(c, demand)) {
     ++engine_.counters().bad_requests;
-    reply(client, c.id, {core::Verdict::failed, false, 0, {}, {}});
+    reply(client, c.id, {core::Verdict::failed, false, 0, {}, {}, false});
     return true;
   }
   // Bounds of this process, not of the service: nothing ran, so trying again is harmless.
   if (client.open.size() >= kOpenMost || engine_.held_bytes() > memory_) {
-    reply(client, c.id, {core::Verdict::refused, false, 0, {}, {}});
+    reply(client, c.id, {core::Verdict::refused, false, 0, {}, {}, false});
     return true;
   }
   demand.cls = cls->second;
--- /dev/null
+++ b/src/signed/http_front.cpp
@@ -0,0 +1,217 @@
+#include "signed/http_front.h"
+
+#include <algorithm>
+#include <charconv>
+#include <cstdio>
+
+#include "signed/http.h"
+
+namespace signed_urls {
+namespace {
+
+constexpr core::Time kIdle = 15'000'000, kHeadTime = 10'000'000, kWriteTime = 30'000'000;
+constexpr core::Time kLinger = 2'000'000;     // so that a reset does not overtake the last answer
+constexpr std::size_t kInputMost = 64 << 10;  // pipelined requests that wait their turn
+
+template <class T>
+bool number(std::string_view text, T& out, int base = 10) {
+  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), out, base);
+  return error == std::errc() && !text.empty() && end == text.data() + text.size();
+}
+std::uint64_t mix(std::uint64_t x) {
+  x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9ULL;
+  x = (x ^ (x >> 27)) * 0x94d049bb133111ebULL;
+  return x ^ (x >> 31);
+}
+// Why a token was turned away is told to the client in one word and never with any part of the token.
+int status_of(Check check) { return check == Check::good ? 200 : check == Check::missing ? 401 : 403; }
+
+}  // namespace
+
+struct HttpFront::Client {
+  std::unique_ptr<net::Connection> connection;
+  core::Ticket ticket = 0;  // one request at a time: answers go out in the order of the requests
+  bool head = false, keep_alive = true;
+  bool dead = false, ending = false, finished = false;
+  core::Deadlines::Key timeout{};
+};
+
+HttpFront::HttpFront(net::Loop& loop, core::Deadlines& deadlines, core::Engine& engine,
+                     const config::Config& config, const config::Signed& settings,
+                     std::function<core::Time()> clock)
+    : loop_(loop),
+      deadlines_(deadlines),
+      engine_(engine),
+      settings_(settings),
+      config_(config),
+      clock_(std::move(clock)),
+      checker_(
+          [&] {
+            std::vector<Key> keys;
+            for (const auto& k : settings.keys) keys.push_back({k.id, k.secret, k.until});
+            return keys;
+          }(),
+          settings.skew_s),
+      random_(config.seed ^ 0x7369676e6564ULL),
+      most_clients_(static_cast<std::size_t>(config.sockets) / 8),
+      listener_(
+          loop, deadlines, net::parse_address(settings.listen).value_or(sockaddr_in{}),
+          [this] {
+            const bool may = clients_.size() < most_clients_;
+            if (!may) ++engine_.counters().accepts_put_off;
+            return may;
+          },
+          [this](net::Fd fd) { accept(std::move(fd)); }) {}
+HttpFront::~HttpFront() {
+  for (auto& c : clients_) drop(*c);
+}
+
+void HttpFront::accept(net::Fd fd) {
+  auto client = std::make_unique<Client>();
+  Client* raw = client.get();
+  net::Connection::Handler handler;
+  handler.on_data = [this, raw](std::string_view bytes) { return take(*raw, bytes); };
+  // A client that closes has left. Its end of input is no different from a close, as with other proxies.
+  handler.on_close = [this, raw](net::Closed) { drop(*raw); };
+  raw->connection = std::make_unique<net::Connection>(loop_, std::move(fd), false, std::move(handler));
+  clients_.push_back(std::move(client));
+  wait(*raw, kHeadTime);
+}
+
+void HttpFront::wait(Client& client, core::Time time) {
+  deadlines_.clear(client.timeout);
+  client.timeout = deadlines_.set(engine_.now() + time, [this, &client] { drop(client); });
+}
+
+std::ptrdiff_t HttpFront::take(Client& client, std::string_view bytes) {
+  if (client.ending) return static_cast<std::ptrdiff_t>(bytes.size());
+  if (client.dead || client.ticket) {
+    if (bytes.size() > kInputMost) client.connection->pause_reading(true);
+    return 0;
+  }
+  const auto before = bytes.size();
+  HttpRequest request;
+  if (!next_request(bytes, request)) return 0;
+  client.head = request.head;
+  client.keep_alive = request.keep_alive && !request.error && !leaving_;
+  if (request.error) {
+    ++engine_.counters().bad_requests;
+    respond(client, request.error);
+    return static_cast<std::ptrdiff_t>(before);
+  }
+  if (request.wrong_method) respond(client, 405);
+  else ask(client, request);
+  return static_cast<std::ptrdiff_t>(before - bytes.size());
+}
+
+// "/asset/7f3a9c21e0b4d655/0": the class by its prefix, the object, the part.
+void HttpFront::ask(Client& client, const HttpRequest& request) {
+  const auto path = request.target.substr(0, request.target.find('?'));
+  const auto query = request.target.substr(std::min(request.target.size(), path.size() + 1));
+  core::Demand d;
+  const config::Signed::Route* route = nullptr;
+  for (const auto& r : settings_.routes)
+    if (path.starts_with(r.prefix)) route = &r;
+  const auto rest = route ? path.substr(route->prefix.size()) : std::string_view();
+  const auto slash = rest.find('/');
+  if (!route || slash != 16 || !number(rest.substr(0, 16), d.object, 16) || !number(rest.substr(17), d.part))
+    return respond(client, 404);
+  d.object_text = rest.substr(0, 16);
+  d.cls = route->cls;
+
+  // Checked once, here: whatever expires later, the request runs to its one answer.
+  std::string token;
+  std::string_view text;
+  if (const auto pfx = query.starts_with("pfx=") ? 0 : query.find("&pfx="); pfx != std::string_view::npos)
+    text = query.substr(pfx ? pfx + 1 : 0);
+  else if (query.find("&sig=") != std::string_view::npos) text = request.target;
+  Check check = Check::missing;
+  Claims claims;
+  if (text.empty()) {
+    auto given = request.authorization;
+    const bool bearer = given.size() > 7 && (given[0] | 32) == 'b' && given.substr(1, 6) == "earer ";
+    given = bearer ? given.substr(7) : cookie_value(request.cookie, settings_.cookie);
+    if (!given.empty()) {
+      check = Check::malformed;
+      if (auto decoded = from_base64url(given)) token = std::move(*decoded), text = token;
+    }
+  }
+  if (!text.empty()) check = checker_.check(path, text, clock_() / 1'000'000, claims);
+  // A whole link in a header would open its own path only; tokens there name a prefix.
+  if (check != Check::good) {
+    ++engine_.counters().bad_tokens;
+    return respond(client, status_of(check));
+  }
+  if ((!claims.set.empty() && !number(claims.set, d.group)) ||
+      (!claims.ram.empty() && !number(claims.ram, d.size_kb)))
+    return respond(client, 400);
+
+  char id[17];
+  std::snprintf(id, sizeof id, "%016llx",
+                static_cast<unsigned long long>(mix(random_ += 0x9e3779b97f4a7c15ULL)));
+  d.id = std::string_view(id, 16);
+  d.held_tag = bare_tag(request.if_none_match);
+  d.limit = route->limit;
+  client.ticket = engine_.take(*this, d);
+  asked_[client.ticket] = &client;
+  deadlines_.clear(client.timeout);
+}
+
+void HttpFront::answer(core::Ticket ticket, const core::Answer& answer) {
+  const auto it = asked_.find(ticket);
+  if (it == asked_.end()) return;
+  Client& client = *it->second;
+  asked_.erase(it);
+  client.ticket = 0;
+  using core::Verdict;
+  const int status = answer.verdict == Verdict::served    ? (answer.unchanged ? 304 : 200)
+                     : answer.late                        ? 504
+                     : answer.verdict == Verdict::refused ? 503
+                                                          : 502;
+  respond(client, status, answer);
+}
+
+void HttpFront::respond(Client& client, int status, const core::Answer& answer) {
+  if (client.dead) return;
+  HttpAnswer a;
+  a.status = status;
+  a.retry_after = answer.retry_after;
+  a.length = answer.body.size();
+  a.etag = answer.verdict == core::Verdict::served ? answer.tag : std::string_view();
+  a.keep_alive = client.keep_alive = client.keep_alive && !leaving_;
+  client.connection->write(response_head(a), client.head ? std::string_view() : answer.body);
+  client.ending = !a.keep_alive;
+  wait(client, client.connection->unwritten() ? kWriteTime : kIdle);
+}
+
+void HttpFront::drop(Client& client) {
+  if (client.dead) return;
+  client.dead = true;
+  deadlines_.clear(client.timeout);
+  client.connection->close();
+  if (!client.ticket) return;
+  asked_.erase(client.ticket);
+  engine_.withdraw(client.ticket);
+}
+
+void HttpFront::end_turn() {
+  for (auto& c : clients_) {
+    if (c->dead) continue;
+    c->connection->end_turn();
+    while (!c->dead && !c->ticket && !c->ending && c->connection->feed_again()) c->connection->end_turn();
+    if (c->dead) continue;
+    if (!c->ticket) c->connection->pause_reading(false);
+    if (!c->ending || c->finished || c->connection->unwritten() > 0) continue;
+    c->finished = true;
+    c->connection->finish();
+    wait(*c, kLinger);
+  }
+  std::erase_if(clients_, [](auto& c) { return c->dead; });
+}
+
+bool HttpFront::idle() const {
+  return asked_.empty() && std::all_of(clients_.begin(), clients_.end(),
+                                       [](auto& c) { return c->dead || c->connection->unwritten() == 0; });
+}
+
+}  // namespace signed_urls
--- /dev/null
+++ b/src/signed/http_front.h
@@ -0,0 +1,56 @@
+// The signed front: HTTP clients with signed links, cookies or bearer tokens, on the same core.
+#pragma once
+
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "config/config.h"
+#include "core/engine.h"
+#include "net/connection.h"
+#include "signed/token.h"
+
+namespace signed_urls {
+
+struct HttpRequest;
+
+class HttpFront : public core::Front {
+ public:
+  // `clock` is the wall clock that links and tokens are checked against.
+  HttpFront(net::Loop& loop, core::Deadlines& deadlines, core::Engine& engine, const config::Config& config,
+            const config::Signed& settings, std::function<core::Time()> clock);
+  ~HttpFront() override;
+
+  void answer(core::Ticket ticket, const core::Answer& answer) override;
+  void end_turn();
+  void begin_leaving() { leaving_ = true; }  // answers end their connections from now on
+  void stop_listening() { listener_.stop(); }
+  bool idle() const;
+  sockaddr_in address() const { return listener_.address(); }
+
+ private:
+  struct Client;
+  void accept(net::Fd fd);
+  std::ptrdiff_t take(Client& client, std::string_view bytes);
+  void ask(Client& client, const HttpRequest& request);
+  void respond(Client& client, int status, const core::Answer& answer = {});
+  void drop(Client& client);
+  void wait(Client& client, core::Time time);
+
+  net::Loop& loop_;
+  core::Deadlines& deadlines_;
+  core::Engine& engine_;
+  const config::Signed& settings_;
+  const config::Config& config_;
+  std::function<core::Time()> clock_;
+  Checker checker_;
+  std::uint64_t random_;
+  bool leaving_ = false;
+  std::size_t most_clients_;
+  std::vector<std::unique_ptr<Client>> clients_;
+  std::unordered_map<core::Ticket, Client*> asked_;
+  net::Listener listener_;
+};
+
+}  // namespace signed_urls
