--- /dev/null
+++ b/src/core/text.h
@@ -0,0 +1,30 @@
+// Numbers and words as they come from outside.
+#pragma once
+
+#include <charconv>
+#include <cmath>
+#include <string_view>
+#include <type_traits>
+
+namespace core {
+
+// The whole text must be the number.
+template <class T>
+bool parse_number(std::string_view text, T& out, [[maybe_unused]] int base = 10) {
+  std::from_chars_result r{};
+  if constexpr (std::is_floating_point_v<T>) r = std::from_chars(text.data(), text.data() + text.size(), out);
+  else r = std::from_chars(text.data(), text.data() + text.size(), out, base);
+  if (text.empty() || r.ec != std::errc() || r.ptr != text.data() + text.size()) return false;
+  if constexpr (std::is_floating_point_v<T>) return std::isfinite(out);
+  return true;
+}
+
+// Danger: such words pass into lines of words; a space or a comma in one would make another command of it.
+inline bool plain_word(std::string_view text) {
+  for (const char c : text)
+    if (!((c >= '0' && c <= '9') || (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || c == '-' || c == '_'))
+      return false;
+  return text.size() <= 64;
+}
+
+}  // namespace core
--- a/src/platform/lines.cpp
+++ b/src/platform/lines.cpp
@@ -1,7 +1,6 @@
 #include "platform/lines.h"
 
-#include <charconv>
-#include <cmath>
+#include "core/text.h"
 
 namespace platform {
 namespace {
@@ -15,12 +14,6 @@
   text.remove_prefix(at == std::string_view::npos ? text.size() : at + 1);
   return part;
 }
-template <class T>
-bool number(std::string_view text, T& out) {
-  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), out);
-  return error == std::errc() && !text.empty() && end == text.data() + text.size();
-}
-
 }  // namespace
 
 std::string fetch_line(const core::Order& o, std::string_view lane, std::string_view source, core::Time now) {
@@ -64,7 +57,7 @@
   std::string_view fields = cut(line, ' ');
   std::size_t length = 0;
   if (answer.id.empty() || answer.word.empty()) return Parsed::unreadable;
-  if (!line.empty() && (!number(line, length) || length > kBodyMost)) return Parsed::unreadable;
+  if (!line.empty() && (!core::parse_number(line, length) || length > kBodyMost)) return Parsed::unreadable;
   if (fields == "-") fields = {};
   while (!fields.empty()) {
     std::string_view value = cut(fields, ',');
@@ -73,7 +66,7 @@
     if (name == "rep") answer.report = value;
     core::Time ms = 0;
     if (name == "t0") {
-      if (!number(value, ms) || ms < 0 || ms > core::Time{1} << 50) return Parsed::unreadable;
+      if (!core::parse_number(value, ms) || ms < 0 || ms > core::Time{1} << 50) return Parsed::unreadable;
       answer.born = ms * 1000;
     }
   }
@@ -105,7 +98,7 @@
     std::string_view value = cut(text, ';');
     const auto name = cut(value, ':');
     double x = 0;
-    if (!number(value, x) || !std::isfinite(x)) continue;
+    if (!core::parse_number(value, x)) continue;
     if (name == "inflight" || name == "outstanding") r.inflight = x;
     if (name == "util" || name == "utilization") r.utilization = x;
     if (name == "x1") r.link_or_fetches = x;
--- a/src/platform/rpc.cpp
+++ b/src/platform/rpc.cpp
@@ -2,10 +2,10 @@
 
 #include <msgpack.h>
 
-#include <charconv>
-#include <cmath>
 #include <memory>
 
+#include "core/text.h"
+
 namespace platform {
 namespace {
 
@@ -68,23 +68,6 @@
   return Parsed::whole;
 }
 
-template <class T>
-bool number(std::string_view text, T& out, int base = 10) {
-  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), out, base);
-  return error == std::errc() && !text.empty() && end == text.data() + text.size();
-}
-bool number(std::string_view text, double& out) {
-  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), out);
-  return error == std::errc() && !text.empty() && end == text.data() + text.size() && std::isfinite(out);
-}
-// Danger: these pass into lines of words; a space or a comma in one would make another command of it.
-bool plain(std::string_view text) {
-  for (const char c : text)
-    if (!((c >= '0' && c <= '9') || (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || c == '-' || c == '_'))
-      return false;
-  return text.size() <= 64;
-}
-
 class Packer {
  public:
   Packer() {
@@ -132,13 +115,15 @@
 
 bool to_demand(const Call& c, core::Demand& d) {
   double limit = 0;
-  if (!c.well_formed || c.txn.empty() || !plain(c.txn) || !plain(c.unique) || !plain(c.item) ||
-      !plain(c.seen))
+  if (!c.well_formed || c.txn.empty() || !core::plain_word(c.txn) || !core::plain_word(c.unique) ||
+      !core::plain_word(c.item) || !core::plain_word(c.seen))
+    return false;
+  if (!core::parse_number(c.limit, limit) || limit < 0 || limit > 1e7 ||
+      !core::parse_number(c.item, d.object, 16))
     return false;
-  if (!number(c.limit, limit) || limit < 0 || limit > 1e7 || !number(c.item, d.object, 16)) return false;
-  if (!c.slice.empty() && !number(c.slice, d.part)) return false;
-  if (!c.set.empty() && !number(c.set, d.group)) return false;
-  if (!c.ram.empty() && !number(c.ram, d.size_kb)) return false;
+  if (!c.slice.empty() && !core::parse_number(c.slice, d.part)) return false;
+  if (!c.set.empty() && !core::parse_number(c.set, d.group)) return false;
+  if (!c.ram.empty() && !core::parse_number(c.ram, d.size_kb)) return false;
   d.id = c.txn;
   d.idempotency_key = c.unique;
   d.held_tag = c.seen;
--- a/src/signed/http.cpp
+++ b/src/signed/http.cpp
@@ -3,6 +3,8 @@
 #include <http_parser.h>
 #include <strings.h>
 
+#include "core/text.h"
+
 namespace signed_urls {
 namespace {
 
@@ -141,10 +143,7 @@
   if (tag.starts_with("W/")) tag.remove_prefix(2);
   if (tag.size() < 3 || !tag.starts_with('"') || !tag.ends_with('"')) return {};
   tag = tag.substr(1, tag.size() - 2);
-  for (const char c : tag)
-    if (!((c >= '0' && c <= '9') || (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || c == '-' || c == '_'))
-      return {};
-  return tag.size() <= 64 ? tag : std::string_view();
+  return core::plain_word(tag) ? tag : std::string_view();
 }
 
 }  // namespace signed_urls
--- a/src/signed/http_front.cpp
+++ b/src/signed/http_front.cpp
@@ -1,9 +1,9 @@
 #include "signed/http_front.h"
 
 #include <algorithm>
-#include <charconv>
 #include <cstdio>
 
+#include "core/text.h"
 #include "signed/http.h"
 
 namespace signed_urls {
@@ -13,11 +13,6 @@
 constexpr core::Time kLinger = 2'000'000;     // so that a reset does not overtake the last answer
 constexpr std::size_t kInputMost = 64 << 10;  // pipelined requests that wait their turn
 
-template <class T>
-bool number(std::string_view text, T& out, int base = 10) {
-  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), out, base);
-  return error == std::errc() && !text.empty() && end == text.data() + text.size();
-}
 std::uint64_t mix(std::uint64_t x) {
   x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9ULL;
   x = (x ^ (x >> 27)) * 0x94d049bb133111ebULL;
@@ -114,7 +109,8 @@
     if (path.starts_with(r.prefix)) route = &r;
   const auto rest = route ? path.substr(route->prefix.size()) : std::string_view();
   const auto slash = rest.find('/');
-  if (!route || slash != 16 || !number(rest.substr(0, 16), d.object, 16) || !number(rest.substr(17), d.part))
+  if (!route || slash != 16 || !core::parse_number(rest.substr(0, 16), d.object, 16) ||
+      !core::parse_number(rest.substr(17), d.part))
     return respond(client, 404);
   d.object_text = rest.substr(0, 16);
   d.cls = route->cls;
@@ -142,8 +138,8 @@
     ++engine_.counters().bad_tokens;
     return respond(client, status_of(check));
   }
-  if ((!claims.set.empty() && !number(claims.set, d.group)) ||
-      (!claims.ram.empty() && !number(claims.ram, d.size_kb)))
+  if ((!claims.set.empty() && !core::parse_number(claims.set, d.group)) ||
+      (!claims.ram.empty() && !core::parse_number(claims.ram, d.size_kb)))
     return respond(client, 400);
 
   char id[17];
--- a/src/signed/token.cpp
+++ b/src/signed/token.cpp
@@ -5,15 +5,14 @@
 #include <openssl/hmac.h>
 
 #include <algorithm>
-#include <charconv>
+
+#include "core/text.h"
 
 namespace signed_urls {
 namespace {
 
 bool seconds(std::string_view text, std::int64_t& out) {
-  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), out);
-  return error == std::errc() && !text.empty() && end == text.data() + text.size() && out >= 0 &&
-         out < std::int64_t{1} << 40;
+  return core::parse_number(text, out) && out >= 0 && out < std::int64_t{1} << 40;
 }
 
 struct Fields {
