--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -1,6 +1,5 @@
 // The decision module. Its interface, with units and ordering, is include/alderspur/router.h.
-// Sections: constants, small tools, state, fleet, views of load, hot sets, source, health, cold ledger,
-// the gate, request life, events. docs/design.md tells what follows the published design and what departs.
+// docs/design.md tells what follows the published design and what departs.
 #include <algorithm>
 #include <cmath>
 #include <limits>
@@ -115,9 +114,6 @@
   }
 };
 
-struct Carry {
-  double mean = 0, most = 0;
-};
 struct Bucket {  // a budget that requests fill and extra attempts empty
   double saved = 0;
   void earn(double x, double most) { saved = std::min(most, saved + x); }
@@ -219,7 +215,9 @@
   Limit door_, fetches_;                // of the location's caches; of what may wait for the origin
   double fetch_out_ = 0, pressed_ = 0;  // sending seconds waiting for the origin; part refused lately
   Mean cost_;                           // sending seconds for a unit of worth
-  Carry cache_carry_, parent_carry_;    // transfers that warm ones do for us, remembered
+  struct Carry {
+    double mean = 0, most = 0;
+  } cache_carry_, parent_carry_;  // transfers that warm ones do for us, remembered
 
   void act(Action a) { out_->push_back(std::move(a)); }
   void wake(Time at, Wake why, RequestId id = {}) {
@@ -303,8 +301,9 @@
   Time aim(const Request& q) {
     return cls(q).target + static_cast<Time>(cls(q).aim_stretch * sending(q) * kSecond);
   }
-  double over_aim(const Request& q, Time took) {  // time taken over the aim, as one sample for a limit
-    return std::min(kCrowdMost, static_cast<double>(took) / static_cast<double>(std::max<Time>(1, aim(q))));
+  double over_aim(const Request& q, double took) {  // beyond its own sending, over what the aim leaves beside
+    const double own = sending(q) * kSecond, room = std::max(1.0, static_cast<double>(aim(q)) - own);
+    return std::clamp((took - own) / room, 0.0, kCrowdMost);
   }
   double usual(const Request& q) { return static_cast<double>(cls(q).target) + sending(q) * kSecond; }
 
@@ -443,7 +442,8 @@
     // A crowded link is not the origin's fault: where it is told, the wait for the first byte counts alone.
     const Time waited = o.first_byte > 0 ? o.first_byte : o.elapsed;
     if (fetched || stuck)
-      fetches_.learn(limit_step(), kFetchAim - (stuck ? kCrowdMost : over_aim(q, waited)),
+      fetches_.learn(limit_step(),
+                     kFetchAim - (stuck ? kCrowdMost : over_aim(q, static_cast<double>(waited))),
                      kFetchLeast / std::sqrt(thin()), fetch_out_);
     if (gave) s->work.add(now_, sending(q)), objects_[q.object].fetched = now_;
     // What turned out a hit asked nothing of a cold parent.
@@ -700,7 +700,7 @@
     const bool turned_away = o.result == Result::full;
     if (!turned_away && o.result != Result::ok) return;
     const Time own = std::max<Time>(0, o.elapsed - o.first_byte);
-    const double crowd = turned_away ? kCrowdMost : over_aim(q, own);
+    const double crowd = turned_away ? kCrowdMost : over_aim(q, static_cast<double>(own));
     door_.learn(limit_step(), kCrowdAim - crowd, kLimitLeast * static_cast<double>(caches_.size()) / thin(),
                 work_out());
   }
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -630,6 +630,20 @@
   for (int i = 0; i < 3; ++i) run(100 * ms);
   EXPECT_LT(run(100 * ms), 30);
 }
+// Guards against taking a request's own sending for a crowd: large objects alone closed the door.
+TEST(Admission, LargeObjectsSentAtTopPaceDoNotCloseTheDoor) {
+  Bed bed;
+  int refused = 0;
+  std::vector<RequestId> out;
+  for (int i = 0; i < 3000; ++i) {
+    out.push_back(bed.ask(static_cast<std::uint64_t>(i % 40), 0, 1500));
+    refused += bed.answers[out.back()];
+    if (out.size() < 12) continue;
+    if (bed.answers[out.front()] == 0) bed.end(out.front(), Result::ok, Note::none, 0, 1550 * ms);
+    out.erase(out.begin());
+  }
+  EXPECT_EQ(refused, 0);
+}
 // A location's routers each see a sliver; each alone under a floor for one router, all would never refuse
 // together.
 std::size_t admitted_together(std::uint32_t routers) {
