--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -7,15 +7,14 @@
 #include <unordered_map>
 
 #include "alderspur/router.h"
+#include "estimates.h"
 
 namespace alderspur {
 namespace {
 
 // ---- Constants: every tuned value, with unit and reason ----
 
-constexpr Time kMs = 1000, kSecond = 1000 * kMs;
 // Hot sets.
-constexpr Time kWindow = 4 * kSecond;  // loads are counted over it: some tens of requests a cache
 constexpr double kBaseThresh = 0.25;   // share of a cache's load at which an object is hot, W = 1
 constexpr double kLeastCount = 6;      // requests of one object in a window; fewer say nothing
 constexpr Time kWidenPause = kSecond;  // between two widenings of one set: counts must follow
@@ -29,7 +28,6 @@
 constexpr double kHeldLeast = 4, kReportLearn = 0.2;  // requests held, never too many; weight of a report
 constexpr Time kReportOld = 4 * kSecond;              // reports older than this say nothing
 // Time-outs, in units of an attempt's usual time.
-constexpr double kLearn = 0.05;        // weight of a new sample in running means
 constexpr int kCalm = 2;               // attempts out, at most, where a hit's time tells its sending time
 constexpr double kHedgeDevs = 3;       // deviations above the mean: worth a second copy
 constexpr double kHedgeFrom = 0.4;     // of the aim: nothing is late earlier
@@ -39,14 +37,15 @@
 // Admission: the sending seconds out at the location's caches stay under a limit that moves with the time
 // attempts take over their aim: by kLimitStep of the distance from kCrowdAim with each answer.
 constexpr double kCrowdAim = 0.4, kCrowdMost = 2, kLimitStep = 0.03;
-constexpr double kLimitLeast = 0.5, kLimitRoom = 3;  // seconds for a cache; times what is out: bursts pass
-constexpr double kCheapRoom = 2;  // over the limit, for requests that cost little for their worth
+constexpr double kLimitLeast = 0.5;  // seconds for a cache
+constexpr double kCheapRoom = 2;     // over the limit, for requests that cost little for their worth
 constexpr double kFetchAim = 0.5, kFetchLeast = 1.5;  // the same for work that may wait for the origin
 constexpr double kPressLearn = 0.05;                  // weight of one request in the part refused lately
 // Health.
-constexpr int kHardFails = 2;     // refused, reset or silent in a row: out
-constexpr double kSoftFails = 3;  // errors in a window, and half of all answers: out
-constexpr int kSourceFails = 3;   // fills failed in a row by one source: passed over
+constexpr int kHardFails = 2;       // refused, reset or silent in a row: out
+constexpr double kSoftFails = 3;    // errors in a window, and half of all answers: out
+constexpr Time kOwnWord = 3 * kMs;  // turned away sooner: by the cache itself, no source was asked
+constexpr int kSourceFails = 3;     // fills failed in a row by one source: passed over
 constexpr Time kBackoff = kSecond, kBackoffMost = 8 * kSecond;  // first and longest ejection
 // Cold ledger: of what is held to be its capacity now, a cold server is sent this part.
 constexpr double kColdUse = 0.75;        // told sizes: true ones lie below at times
@@ -62,64 +61,6 @@
 constexpr Time kRetryAfter = 400 * kMs;  // advice: from once to twice this,
 constexpr double kPressed = 8;           // and so many times more as more is refused
 
-// ---- Small tools ----
-
-std::uint64_t mix(std::uint64_t x) {
-  x += 0x9e3779b97f4a7c15ULL;
-  x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9ULL;
-  x = (x ^ (x >> 27)) * 0x94d049bb133111ebULL;
-  return x ^ (x >> 31);
-}
-double unit(std::uint64_t h) { return (static_cast<double>(h >> 11) + 0.5) * 0x1.0p-53; }
-double known(double v) { return std::isfinite(v) && v > 0 ? v : 0; }
-
-// A sliding count: the running window and a falling part of the one before.
-class Window {
- public:
-  void add(Time now, double x) {
-    roll(now);
-    current_ += x;
-  }
-  double read(Time now) {
-    roll(now);
-    return current_ + before_ * (1 - static_cast<double>(now % kWindow) / kWindow);
-  }
-
- private:
-  void roll(Time now) {
-    const Time slot = now / kWindow;
-    if (slot == slot_) return;
-    before_ = slot == slot_ + 1 ? current_ : 0;
-    current_ = 0;
-    slot_ = slot;
-  }
-  double current_ = 0, before_ = 0;
-  Time slot_ = 0;
-};
-
-struct Mean {
-  double value = 0, dev = 0;
-  bool any = false;
-  void learn(double x, double weight = kLearn) {
-    if (!any) value = x, dev = x / 2, any = true;
-    dev += weight * (std::abs(x - value) - dev);
-    value += weight * (x - value);
-  }
-};
-
-struct Limit {  // on work out: moved by how close answers come to what they aim at, and by what is out
-  double value = 1e9;
-  void learn(double step, double off, double least, double out) {
-    value = std::clamp(value * (1 + step * off), least, std::max(4 * least, kLimitRoom * out));
-  }
-};
-
-struct Bucket {  // a budget that requests fill and extra attempts empty
-  double saved = 0;
-  void earn(double x, double most) { saved = std::min(most, saved + x); }
-  bool spend() { return saved >= 1 ? (saved -= 1, true) : false; }
-};
-
 // ---- State ----
 
 struct Node {
@@ -167,6 +108,7 @@
   bool open = true, unseen = true, begun = false, hedged = false, stale_ok = false;
   std::vector<Attempt> attempts;
   std::vector<ServerId> bad_sources;
+  ServerId suspect, asked_again;  // a source that may have failed; the cache that is asked once more without
 };
 struct Learned {         // of a class
   Mean size, hit, pace;  // KB; seconds of hits; elapsed over usual time
@@ -213,6 +155,7 @@
   std::vector<Learned> learned_;
   Bucket retries_{kRetrySaved / 2}, hedges_{kHedgeSaved / 2};
   Limit door_, fetches_;                // of the location's caches; of what may wait for the origin
+  bool noted_ = false;                  // answers say what became of fills
   double fetch_out_ = 0, pressed_ = 0;  // sending seconds waiting for the origin; part refused lately
   Mean cost_;                           // sending seconds for a unit of worth
   struct Carry {
@@ -450,7 +393,8 @@
     if (a.charged && s->cold && (o.note == Note::hit || o.note == Note::joined))
       s->tokens += class_sending(q.cls);
     if (s->at.role != Role::parent) return;
-    if (gave) s->streak = s->ejections = 0, s->on_trial = false;
+    if (gave || (!noted_ && a.fetching && o.result == Result::ok))
+      s->streak = s->ejections = 0, s->on_trial = false;
     // Danger: one of many routers never meets a dead parent three times in a row, and all of them reach it at
     // once when it starts. There one refused connection puts it out, and it returns as a cold one would.
     const bool unreached = o.note == Note::source_unreachable && o.result == Result::full;
@@ -788,6 +732,8 @@
     if (!life.attempts[o.attempt.value].out) return;
     Attempt& a = life.attempts[o.attempt.value];
     a.out = false;
+    noted_ |= o.note != Note::none;
+    const bool unsure = unclear(life, a, o);
     if (a.fetching) fetch_out_ = std::max(0.0, fetch_out_ - a.work);
     a.never_ran = o.result == Result::full || o.result == Result::connect_failed ||
                   o.result == Result::moot || o.result == Result::miss;
@@ -795,10 +741,12 @@
     if (n) {
       n->out = std::max(0, n->out - 1);
       n->work_out = n->out ? std::max(0.0, n->work_out - a.work) : 0;
-      judge(*n, life.q, a, o);
+      if (!unsure) judge(*n, life.q, a, o);
+      else n->last_answer = now_, n->answers.add(now_, 1);
     }
     judge_source(life.q, a, o);
-    feel(life.q, o);
+    if (!unsure) feel(life.q, o);
+    if (o.result == Result::ok && a.server == life.asked_again) blame(life.suspect);
     if (o.result == Result::ok && n) {
       count_served(life.q, *n);
       if (o.note == Note::hit && n->out < kCalm)
@@ -810,10 +758,24 @@
       // Danger: behind every parent stands the same origin; each router's retries help to push it over.
       const bool no_use = o.note == Note::source_lacks || o.result == Result::moot ||
                           (o.note == Note::origin_failed && (life.stale_ok || !cls(life.q).stale_grace));
-      no_use ? give_up(life) : retry(life, follow_up(life, a, o, n));
+      no_use ? give_up(life) : retry(life, unsure ? n : follow_up(life, a, o, n));
     }
     if (!life.open) finish(life);
   }
+  // Where answers say nothing of fills, a failure may be the source's: the same cache is asked once more with
+  // the next source, and an answer then tells which of the two it was.
+  bool unclear(Life& life, const Attempt& a, const Outcome& o) {
+    const bool failed = o.result == Result::error || (o.result == Result::full && o.elapsed > kOwnWord);
+    if (noted_ || !a.filling || !failed || life.asked_again == a.server) return false;
+    life.suspect = a.source, life.asked_again = a.server;
+    life.bad_sources.push_back(a.source);
+    return true;
+  }
+  void blame(ServerId id) {
+    Node* s = find(id);
+    if (!s || s->at.role != Role::parent || (++s->streak < kSourceFails && !s->on_trial)) return;
+    eject(*s);
+  }
   // Blames the right part: where only the fill failed, the same cache is asked again, from elsewhere.
   const Node* follow_up(Life& life, const Attempt& a, const Outcome& o, const Node* n) {
     if (!fill_failed(o) || o.note == Note::fills_full) return nullptr;
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -630,6 +630,30 @@
   for (int i = 0; i < 3; ++i) run(100 * ms);
   EXPECT_LT(run(100 * ms), 30);
 }
+// Guards against blaming caches for a dead source where answers carry no notes: every cache looked sick, the
+// next one was asked to fill from the same source, and the door shut.
+TEST(Health, WithoutNotesADeadSourceIsFoundByAskingTheSameCacheOnceMore) {
+  auto s = site();
+  s.may_duplicate = false;
+  Bed bed(s);
+  int to_dead_late = 0, refused = 0;
+  for (std::uint64_t o = 1; o <= 60; ++o) {
+    const auto id = bed.ask(o, 0, 400);
+    bed.advance(100 * ms);
+    if (bed.sends[id].empty()) continue;
+    const bool dead = bed.sends[id][0].fill->source == ServerId{20};
+    to_dead_late += dead && o > 30;
+    bed.end(id, dead ? Result::full : Result::ok, Note::none, 0, 50 * ms);
+    if (dead && bed.sends[id].size() > 1) {
+      EXPECT_EQ(bed.sends[id][1].server, bed.sends[id][0].server);
+      EXPECT_NE(bed.sends[id][1].fill->source, ServerId{20});
+      bed.end(id, Result::ok, Note::none, 1);
+    }
+    refused += bed.answers[id];
+  }
+  EXPECT_EQ(refused, 0);
+  EXPECT_LE(to_dead_late, 6);
+}
 // Guards against taking a request's own sending for a crowd: large objects alone closed the door.
 TEST(Admission, LargeObjectsSentAtTopPaceDoNotCloseTheDoor) {
   Bed bed;
