--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -7,7 +7,7 @@
 #include <unordered_map>
 
 #include "alderspur/router.h"
-#include "estimates.h"
+#include "state.h"
 
 namespace alderspur {
 namespace {
@@ -42,8 +42,10 @@
 constexpr double kFetchAim = 0.5, kFetchLeast = 1.5;  // the same for work that may wait for the origin
 constexpr double kPressLearn = 0.05;                  // weight of one request in the part refused lately
 // Health.
-constexpr int kHardFails = 2;       // refused, reset or silent in a row: out
-constexpr double kSoftFails = 3;    // errors in a window, and half of all answers: out
+constexpr int kHardFails = 2;                         // refused, reset or silent in a row: out
+constexpr double kSoftFails = 3;                      // errors in a window, and half of all answers: out
+constexpr Time kParentLook = 500 * kMs;               // parents' silence shows nowhere else: probed so often
+constexpr Time kLook = 100 * kMs, kMute = 300 * kMs;  // a server with work of ours, silent so long, is probed
 constexpr Time kOwnWord = 3 * kMs;  // turned away sooner: by the cache itself, no source was asked
 constexpr int kSourceFails = 3;     // fills failed in a row by one source: passed over
 constexpr Time kBackoff = kSecond, kBackoffMost = 8 * kSecond;  // first and longest ejection
@@ -61,70 +63,6 @@
 constexpr Time kRetryAfter = 400 * kMs;  // advice: from once to twice this,
 constexpr double kPressed = 8;           // and so many times more as more is refused
 
-// ---- State ----
-
-struct Node {
-  Server at;
-  Window load, work, errors, answers;  // bytes (or requests), sending seconds, for health
-  int streak = 0, ejections = 0;
-  Time blocked_until = 0, last_answer = -1;
-  bool on_trial = false, was_silent = false, probing = false, proved = false;
-  int out = 0;
-  Mean held;  // requests it holds, by its reports
-  Time held_at = 0;
-  double work_out = 0;              // sending seconds of the attempts out
-  bool cold = false, told = false;  // told: by the list; else only suspected after silence
-  Time cold_since = 0, tokens_at = 0;
-  double tokens = 0;
-  bool ready() const { return at.status == Status::ready; }
-};
-
-struct Member {
-  ServerId id;
-  Window served, sent, count;
-  Time joined = 0;
-};
-struct Object {
-  Time last = 0, widened = 0, warm_at = 0;  // last request, last widening, last time above shrinking
-  Time fetched = 0;                         // when a part last came from the source
-  std::uint64_t parts = 0;                  // which parts have been asked for, as bits
-  bool repeated = false;
-  std::size_t width = 1;
-  std::vector<Member> members;
-};
-struct Attempt {
-  ServerId server, source;
-  LocationId location;
-  CellId cell;
-  Time sent = 0;
-  double work = 0;  // its sending seconds
-  bool filling = false, charged = false,
-       fetching = false;  // has a source; a cold one; may wait for the origin
-  bool out = true, never_ran = false;
-};
-struct Life {
-  Request q;
-  Time deadline = 0;
-  bool open = true, unseen = true, begun = false, hedged = false, stale_ok = false;
-  std::vector<Attempt> attempts;
-  std::vector<ServerId> bad_sources;
-  ServerId suspect, asked_again;  // a source that may have failed; the cache that is asked once more without
-};
-struct Learned {         // of a class
-  Mean size, hit, pace;  // KB; seconds of hits; elapsed over usual time
-};
-enum class Wake { sweep, deadline, hedge, ask };
-struct Timer {
-  Wake why = Wake::sweep;
-  RequestId id{};
-};
-struct IdHash {
-  template <class T>
-  std::size_t operator()(const T& id) const {
-    return mix(id.value);
-  }
-};
-
 }  // namespace
 
 class Router::Impl {
@@ -170,6 +108,7 @@
   double chance() { return unit(mix(random_++)); }
   void start() {
     wake(now_ + kSweep, Wake::sweep);
+    if (set_.may_probe) wake(now_ + kLook, Wake::look);
     if (set_.must_ask_for_fleet) act(Subscribe{});
   }
   Node* find(ServerId id) {
@@ -412,7 +351,8 @@
     return now_ >= n.blocked_until && !(n.on_trial && (n.out > 0 || (awaits_probe(n) && !n.proved)));
   }
   bool awaits_probe(const Node& n) const {
-    return set_.may_probe && n.at.role == Role::cache && n.at.location == set_.location;
+    return set_.may_probe &&
+           (n.at.role == Role::parent || (n.at.role == Role::cache && n.at.location == set_.location));
   }
   void eject(Node& n) {
     n.blocked_until = now_ + std::min(kBackoffMost, kBackoff << std::min(n.ejections, 5));
@@ -560,7 +500,7 @@
     const bool fetching = source && life.unseen && !fill->held_only;
     life.attempts.push_back({n.at.id, source ? source->at.id : ServerId{}, n.at.location, n.at.cell, now_,
                              work, source != nullptr, source && source->cold, fetching});
-    ++n.out;
+    if (n.out++ == 0) n.idle_until = now_;
     n.work_out += work;
     if (fetching) fetch_out_ += work;
     act(Send{life.q.id, n.at.id, std::max<Time>(1, life.deadline - now_), fill});
@@ -651,8 +591,9 @@
   bool others_out(const Life& life) const {
     return std::any_of(life.attempts.begin(), life.attempts.end(), [](auto& a) { return a.out; });
   }
-  void retry(Life& life, const Node* again) {
-    if (life.deadline - now_ < kLeastTime || !retries_.spend() || !attempt(life, again)) give_up(life);
+  void retry(Life& life, const Node* again, bool free = false) {
+    if (life.deadline - now_ < kLeastTime || !(free || retries_.spend()) || !attempt(life, again))
+      give_up(life);
   }
   void give_up(Life& life) {
     if (!life.open) return;
@@ -758,7 +699,8 @@
       // Danger: behind every parent stands the same origin; each router's retries help to push it over.
       const bool no_use = o.note == Note::source_lacks || o.result == Result::moot ||
                           (o.note == Note::origin_failed && (life.stale_ok || !cls(life.q).stale_grace));
-      no_use ? give_up(life) : retry(life, unsure ? n : follow_up(life, a, o, n));
+      no_use ? give_up(life)
+             : retry(life, unsure ? n : follow_up(life, a, o, n), o.result == Result::cancelled);
     }
     if (!life.open) finish(life);
   }
@@ -805,7 +747,13 @@
     if (!n || !n->probing) return;
     n->probing = false;
     n->proved = p.ok;
-    if (!p.ok) eject(*n);
+    if (p.ok) n->last_answer = now_;
+    if (p.ok && n->at.role == Role::parent && n->on_trial) answered(*n);
+    if (p.ok || (!n->on_trial && n->last_answer >= n->probed_at)) return;
+    const bool fresh_news = !n->on_trial;
+    n->was_silent |= fresh_news;
+    eject(*n);
+    if (fresh_news) evacuate(*n);
   }
   void on(const TimerDue& t) {
     const auto it = timers_.find(t.timer.value);
@@ -813,6 +761,7 @@
     const Timer timer = it->second;
     timers_.erase(it);
     if (timer.why == Wake::sweep) return sweep();
+    if (timer.why == Wake::look) return look();
     if (timer.why == Wake::ask) return act(Subscribe{});
     const auto found = lives_.find(timer.id);
     if (found == lives_.end()) return;
@@ -820,6 +769,38 @@
     if (found->second.open && !found->second.begun) give_up(found->second);
     finish(found->second);
   }
+  // Danger: a cache that falls silent holds each request until its deadline where no second copy is allowed.
+  void look() {
+    wake(now_ + kLook, Wake::look);
+    for (auto* p : parents_)
+      if (!p->probing && now_ >= p->probed_at + kParentLook && now_ >= p->blocked_until) check(*p);
+    for (auto* n : caches_)
+      if (n->out > 0 && !n->probing && !n->on_trial && now_ > std::max(n->idle_until, n->last_answer) + kMute)
+        check(*n);
+  }
+  void check(Node& n) {
+    n.probing = true;
+    n.probed_at = now_;
+    act(Probe{n.at.id});
+  }
+  // Calls off what a silent cache holds and may be sent elsewhere; the outcomes bring the next attempts.
+  void evacuate(Node& n) {
+    if (!set_.may_cancel) return;
+    std::vector<std::pair<RequestId, std::uint32_t>> held;
+    for (auto& [id, life] : lives_)
+      for (std::uint32_t i = 0; i < life.attempts.size(); ++i)
+        if (const auto& a = life.attempts[i]; a.out &&
+                                              (a.server == n.at.id || (a.source == n.at.id && a.fetching)) &&
+                                              life.open && !life.begun && movable(life, a))
+          held.push_back({id, i});
+    std::sort(held.begin(), held.end());
+    for (const auto& [id, i] : held) act(Cancel{id, {i}});
+  }
+  bool movable(const Life& life, const Attempt& a) const {
+    const auto& c = cls(life.q);
+    return c.repeat == Repeat::safe ||
+           (c.repeat == Repeat::keyed && c.dedup_scope == DedupScope::all && now_ - a.sent < c.dedup_window);
+  }
   void sweep() {
     wake(now_ + kSweep, Wake::sweep);
     remember_carry();
@@ -834,8 +815,7 @@
       warm_up(n);
       if (!awaits_probe(n) || !n.on_trial || n.probing || n.proved || !n.ready() || now_ < n.blocked_until)
         continue;
-      n.probing = true;
-      act(Probe{id});
+      check(n);
     }
   }
 };
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -3,6 +3,7 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <map>
 #include <set>
 #include <string>
@@ -75,6 +76,7 @@
     for (const auto& a : actions) {
       if (const auto* t = std::get_if<SetTimer>(&a)) timers.emplace(t->at, t->timer);
       if (const auto* s = std::get_if<Send>(&a)) sends[s->id].push_back(*s);
+      if (const auto* p = std::get_if<Probe>(&a)) ++probes[p->server];
       if (const auto* r = std::get_if<Refuse>(&a)) ++answers[r->id];
       if (const auto* f = std::get_if<Fail>(&a)) ++answers[f->id];
     }
@@ -126,6 +128,7 @@
   std::multimap<Time, TimerId> timers;
   std::map<RequestId, std::vector<Send>> sends;
   std::map<RequestId, int> answers;
+  std::map<ServerId, int> probes;
   std::uint64_t next = 1;
 };
 
@@ -654,6 +657,35 @@
   EXPECT_EQ(refused, 0);
   EXPECT_LE(to_dead_late, 6);
 }
+// Guards against a silent cache or parent holding its requests to their deadlines where no second copy may
+// go.
+TEST(Health, ASilentCacheIsProbedAndWhatItHoldsMovesOn) {
+  auto s = site();
+  s.may_duplicate = false;
+  s.may_probe = true;
+  Bed bed(s);
+  const auto id = bed.ask(1);
+  const auto silent = bed.sends[id][0].server;
+  bed.advance(450 * ms);
+  ASSERT_EQ(bed.probes[silent], 1);
+  const auto actions = bed.tell(Probed{silent, false, 250 * ms, {}});
+  ASSERT_EQ(std::count_if(actions.begin(), actions.end(),
+                          [](auto& a) { return std::holds_alternative<Cancel>(a); }),
+            1);
+  EXPECT_EQ(bed.sends[id].size(), 1u) << "the next leaves only after the first has ended";
+  bed.end(id, Result::cancelled);
+  ASSERT_EQ(bed.sends[id].size(), 2u);
+  EXPECT_NE(bed.sends[id][1].server, silent);
+}
+TEST(Health, ASilentParentIsFoundByProbesAndIsNobodysSource) {
+  auto s = site();
+  s.may_probe = true;
+  Bed bed(s);
+  bed.advance(600 * ms);
+  ASSERT_GE(bed.probes[{20}], 1);
+  bed.tell(Probed{{20}, false, 250 * ms, {}});
+  for (std::uint64_t o = 1; o <= 40; ++o) EXPECT_NE(bed.sends[bed.ask(o)][0].fill->source, ServerId{20});
+}
 // Guards against taking a request's own sending for a crowd: large objects alone closed the door.
 TEST(Admission, LargeObjectsSentAtTopPaceDoNotCloseTheDoor) {
   Bed bed;
