--- a/src/main.cpp
+++ b/src/main.cpp
@@ -67,6 +67,8 @@
   if (signed_settings.enabled)
     links = std::make_unique<signed_urls::HttpFront>(loop, deadlines, engine, config, signed_settings,
                                                      net::unix_now);
+  std::fprintf(stderr, "platform clients on %s\n", net::to_string(front.address()).c_str());
+  if (links) std::fprintf(stderr, "signed links on %s\n", net::to_string(links->address()).c_str());
 
   core::Time leave_at = 0;
   const auto print_counters = [&] {
--- /dev/null
+++ b/tests/process_test.cpp
@@ -0,0 +1,117 @@
+// The program itself as a process: its start with bad input and its planned end.
+#include <sys/wait.h>
+
+#include <csignal>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+
+#include "loopback.h"
+
+namespace {
+
+using loopback::Box;
+
+class Program {
+ public:
+  explicit Program(const std::string& config) {
+    char name[] = "/tmp/alderspur-test-XXXXXX";
+    folder_ = ::mkdtemp(name);
+    std::ofstream(folder_ + "/config.json") << config;
+    std::ofstream(folder_ + "/signed.json") << R"({"enabled":false})";
+    int ends[2];
+    EXPECT_EQ(::pipe(ends), 0);
+    pid_ = ::fork();
+    if (pid_ == 0) {
+      ::dup2(ends[1], 2);
+      ::setenv("RELAY_CONFIG", (folder_ + "/config.json").c_str(), 1);
+      ::setenv("ALDERSPUR_SIGNED", (folder_ + "/signed.json").c_str(), 1);
+      ::unsetenv("RELAY_LISTEN");
+      ::execl(ALDERSPUR_EDGE_PROGRAM, ALDERSPUR_EDGE_PROGRAM, nullptr);
+      ::_exit(99);
+    }
+    ::close(ends[1]);
+    log_ = ends[0];
+  }
+  ~Program() {
+    if (pid_ > 0) ::kill(pid_, SIGKILL), ::waitpid(pid_, nullptr, 0);
+    ::close(log_);
+    std::filesystem::remove_all(folder_);
+  }
+  std::string line() {
+    std::string out;
+    for (char c; ::read(log_, &c, 1) == 1 && c != '\n';) out += c;
+    return out;
+  }
+  sockaddr_in address() {  // waits until it listens
+    const auto said = line();
+    const auto at = net::parse_address(said.substr(said.rfind(' ') + 1));
+    EXPECT_TRUE(at) << said;
+    return at.value_or(sockaddr_in{});
+  }
+  void signal(int number) { ::kill(pid_, number); }
+  int exit_code() {
+    int status = 0;
+    ::waitpid(std::exchange(pid_, 0), &status, 0);
+    return WIFEXITED(status) ? WEXITSTATUS(status) : -WTERMSIG(status);
+  }
+
+ private:
+  std::string folder_;
+  pid_t pid_ = 0;
+  int log_ = -1;
+};
+
+TEST(Process, ABadConfigurationEndsTheStartWithOnePlainLine) {
+  for (const std::string bad :
+       {"{", R"({"settings":{"classes":[]}})", R"({"listen":"nowhere","settings":{"classes":[{}]}})"}) {
+    Program p(bad);
+    EXPECT_EQ(p.line().rfind("alderspur: ", 0), 0u);
+    EXPECT_EQ(p.line(), "");
+    EXPECT_EQ(p.exit_code(), 1);
+  }
+}
+
+// Guards against losing what is held, or what still comes, at a planned restart.
+TEST(Process, AfterSigtermItGoesOnServingAndFinishesWhatItHolds) {
+  Box box;
+  Program p(
+      R"({"listen":"127.0.0.1:0","known":{"rev":1,"notices":[{"rev":1,"pool":{"complete":true,"members":[
+    {"id":"s","host_port":")" +
+      box.address() + R"(","locality":"edge","flavor":"small","phase":"in_service","size":4}]}}]},
+    "settings":{"azs":["edge"],"zone":0,"shapes":["small"],"ceilings":{"max-attempts":2,"may-cancel":true},
+    "classes":[{"name":"asset","target":5000000,"points":1,"repeat":"safe"}]}})");
+  const auto at = p.address();
+  // [0, 1, "asset", [{"txn": "ab", "limit": "20000", "item": "7f"}, b""]] by hand
+  const std::string request(
+      "\x94\x00\x01\xa5"
+      "asset\x92\x83\xa3txn\xa2"
+      "ab\xa5limit\xa5"
+      "20000\xa4item\xa2"
+      "7f\xc4\x00",
+      40);
+  const auto held = loopback::dial(at);
+  held->write(request);
+  const auto until = [&](const std::function<bool()>& holds, std::vector<loopback::Socket*> watched) {
+    for (int i = 0; i < 20'000 && !holds(); ++i) {
+      box.poll();
+      for (auto* s : watched) s->poll();
+      ::usleep(1000);
+    }
+    return holds();
+  };
+  ASSERT_TRUE(until([&] { return box.count("fetch") == 1; }, {}));
+  p.signal(SIGTERM);
+  const auto later = loopback::dial(at);  // clients hear of it later
+  later->write(request);
+  ASSERT_TRUE(until([&] { return box.count("fetch") == 2; }, {}));
+  ::usleep(900'000);  // held longer than it lingers
+  for (const auto& c : box.commands) Box::answer(c, "served", "bytes");
+  ASSERT_TRUE(until([&] { return held->ended && later->ended; }, {held.get(), later.get()}));
+  EXPECT_NE(held->in.find("bytes"), std::string::npos);
+  EXPECT_NE(later->in.find("bytes"), std::string::npos);
+  EXPECT_EQ(p.exit_code(), 0);
+}
+
+}  // namespace
