--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -14,6 +14,13 @@
 
 namespace {
 
+// Null where the text is no JSON. Iterative: deep nesting must not use up the stack.
+rapidjson::Document parse(std::string_view text) {
+  rapidjson::Document j;
+  j.Parse<rapidjson::kParseIterativeFlag>(text.data(), text.size());
+  if (j.HasParseError()) j.SetNull();
+  return j;
+}
 // Looks that never fail: absent or oddly typed fields give the default.
 const Json& at(const Json& j, const char* key) {
   static const Json kNothing;
@@ -69,7 +76,7 @@
   return out;
 }
 
-al::Settings read_settings(const Json& j) {
+al::Settings settings_of(const Json& j) {
   const Json &domain = at(j, "domain"), &limits = at(j, "ceilings"), &rules = at(j, "obligations");
   al::Settings s;
   s.location = {count(at(j, "zone"))};
@@ -113,6 +120,7 @@
   for (std::size_t i = 0; classes.IsArray() && i < classes.Size(); ++i)
     n.classes.push_back(word(at(item(classes, i), "name"))),
         n.give_up.push_back(micros(at(item(classes, i), "give-up"), 2'500'000));
+  n.report_fields = words(at(at(settings, "load-report"), "fields"));
   n.parent_kind = static_cast<int>(real(at(at(settings, "domain"), "upper-kind"), -1));
   n.origin_kind = static_cast<int>(real(at(at(settings, "domain"), "source-kind"), -1));
   return n;
@@ -168,6 +176,14 @@
 
 }  // namespace
 
+std::pair<al::Settings, Names> read_settings(std::string_view text) {
+  const auto j = parse(text);
+  if (!j.IsObject()) throw Error("the settings are not a JSON object");
+  auto settings = settings_of(j);
+  if (settings.classes.empty()) throw Error("the settings name no classes");
+  return {std::move(settings), read_names(j)};
+}
+
 al::ServerId server_id(std::string_view name) {
   std::uint64_t hash = 0xcbf29ce484222325ULL;
   for (const char c : name) hash = (hash ^ static_cast<unsigned char>(c)) * 0x100000001b3ULL;
@@ -175,9 +191,7 @@
 }
 
 std::optional<Notice> read_notice(std::string_view line, const Names& names) {
-  rapidjson::Document j;
-  j.Parse(line.data(), line.size());
-  if (j.HasParseError()) return {};
+  const auto j = parse(line);
   if (j.IsUint64()) {
     Notice n;
     n.number = j.GetUint64();
@@ -187,9 +201,8 @@
 }
 
 Config read(std::string_view text) {
-  rapidjson::Document j;
-  j.Parse(text.data(), text.size());
-  if (j.HasParseError() || !j.IsObject()) throw Error("the configuration is not a JSON object");
+  const auto j = parse(text);
+  if (!j.IsObject()) throw Error("the configuration is not a JSON object");
   Config c;
   c.name = word(at(j, "name"));
   c.listen = word(at(j, "listen"));
@@ -200,7 +213,7 @@
       static_cast<int>(std::clamp<std::uint32_t>(count(at(at(j, "limits"), "sockets"), 1024), 32, 1 << 20));
   const Json& settings = at(j, "settings");
   if (!settings.IsObject()) throw Error("the configuration has no settings");
-  c.settings = read_settings(settings);
+  c.settings = settings_of(settings);
   if (c.settings.classes.empty()) throw Error("the settings name no classes");
   c.names = read_names(settings);
   const Json& limits = at(settings, "ceilings");
@@ -216,9 +229,8 @@
 }
 
 Signed read_signed(std::string_view text, const Config& config) {
-  rapidjson::Document j;
-  j.Parse(text.data(), text.size());
-  if (j.HasParseError() || !j.IsObject()) throw Error("the signed front's file is not a JSON object");
+  const auto j = parse(text);
+  if (!j.IsObject()) throw Error("the signed front's file is not a JSON object");
   Signed s;
   s.enabled = flag(at(j, "enabled"));
   if (!s.enabled) return s;
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -6,6 +6,7 @@
 #include <stdexcept>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "alderspur/router.h"
@@ -20,6 +21,7 @@
 struct Names {
   std::vector<std::string> zones, kinds, classes;
   std::vector<std::int64_t> give_up;  // by class, microseconds
+  std::vector<std::string> report_fields;
   int parent_kind = -1, origin_kind = -1;
 };
 struct Member {
@@ -68,6 +70,8 @@
   std::vector<Route> routes;
 };
 
+// The settings alone, as a router is given them, also on the simulator's wire. Throws Error.
+std::pair<alderspur::Settings, Names> read_settings(std::string_view text);
 // Throws Error with one plain line.
 Signed read_signed(std::string_view text, const Config& config);
 std::string read_text(const std::string& path);
--- a/src/simhost/codec.cpp
+++ b/src/simhost/codec.cpp
@@ -1,14 +1,13 @@
 #include "simhost/codec.h"
 
+#include <algorithm>
 #include <bit>
 #include <cmath>
 #include <limits>
-#include <nlohmann/json.hpp>
 #include <set>
 
 namespace simhost {
 namespace al = alderspur;
-using nlohmann::json;
 
 namespace {
 
@@ -69,98 +68,6 @@
   std::string out;
 };
 
-// Looks in JSON that never throw: absent or oddly typed fields give the default.
-const json& at(const json& j, const char* key) {
-  static const json kNothing;
-  if (!j.is_object()) return kNothing;
-  const auto it = j.find(key);
-  return it == j.end() ? kNothing : *it;
-}
-double real(const json& j, double absent = 0) { return j.is_number() ? j.get<double>() : absent; }
-al::Time micros(const json& j) {
-  const double v = real(j);
-  return std::isfinite(v) ? static_cast<al::Time>(std::clamp(v, 0.0, 1e15)) : 0;
-}
-std::uint32_t count(const json& j, std::uint32_t absent = 0) {
-  return j.is_number() ? static_cast<std::uint32_t>(std::clamp(real(j), 0.0, 4e9)) : absent;
-}
-bool flag(const json& j) { return j.is_boolean() && j.get<bool>(); }
-std::string word(const json& j) { return j.is_string() ? j.get<std::string>() : std::string(); }
-const json& item(const json& j, std::size_t i) {
-  static const json kNothing;
-  return j.is_array() && i < j.size() ? j[i] : kNothing;
-}
-
-al::ClassSettings read_class(const json& c, const json& domain, std::size_t i) {
-  al::ClassSettings out;
-  out.target = micros(at(c, "target"));
-  out.aim_stretch = real(at(c, "aim-stretch"));
-  out.worth = real(at(c, "points"), 1);
-  const auto repeat = word(at(c, "repeat"));
-  out.repeat = repeat == "safe"    ? al::Repeat::safe
-               : repeat == "keyed" ? al::Repeat::keyed
-                                   : al::Repeat::unsafe;
-  const auto scope = word(at(c, "dedup-scope"));
-  out.dedup_scope = scope == "all"    ? al::DedupScope::all
-                    : scope == "zone" ? al::DedupScope::location
-                                      : al::DedupScope::cell;
-  out.dedup_window = micros(at(c, "dedup-window"));
-  out.uncached = flag(item(at(domain, "uncached"), i));
-  out.fresh = micros(item(at(domain, "lifetime-by-class"), i));
-  out.stale_grace = micros(item(at(domain, "stale-for"), i));
-  return out;
-}
-
-struct Kinds {
-  int parent = -1, origin = -1;
-};
-
-Kinds read_kinds(const json& domain) {
-  return {static_cast<int>(real(at(domain, "upper-kind"), -1)),
-          static_cast<int>(real(at(domain, "source-kind"), -1))};
-}
-
-al::Settings settings_of(const json& j) {
-  const json &domain = at(j, "domain"), &limits = at(j, "ceilings"), &rules = at(j, "obligations");
-  al::Settings s;
-  s.location = {count(at(j, "zone"))};
-  s.routers = count(at(j, "replicas-of-me"), 1);
-  for (const auto& v : at(domain, "instances-by-zone")) s.routers_by_location.push_back(count(v));
-  const json& classes = at(j, "classes");
-  for (std::size_t i = 0; i < classes.size(); ++i) s.classes.push_back(read_class(classes[i], domain, i));
-  s.max_attempts = count(at(limits, "max-attempts"), 1);
-  s.may_cancel = flag(at(limits, "may-cancel"));
-  s.may_duplicate = flag(at(limits, "may-duplicate"));
-  s.may_probe = flag(at(limits, "probing"));
-  s.retry_after = flag(at(limits, "retry-after"));
-  s.max_retry_after = micros(at(limits, "max-retry-after"));
-  s.must_ask_for_fleet = word(at(j, "registry-mode")) == "ask";
-  s.cache_cold_from = real(at(rules, "cold-from"), 1);
-  s.cache_cold = micros(at(rules, "cold"));
-  s.fall_window = micros(at(rules, "fall"));
-  s.parent_cold_from = real(at(domain, "upper-cold-from"), 1);
-  s.parent_cold = micros(at(domain, "upper-cold"));
-  s.purge_settles = micros(at(domain, "purge-settles"));
-  s.stream_kb_per_s = real(at(domain, "stream-kb-per-s"));
-  const auto weights = word(at(j, "weights"));
-  s.weights = weights == "nominal" ? al::WeightKind::nominal
-              : weights == "rough" ? al::WeightKind::rough
-              : weights == "live"  ? al::WeightKind::live
-                                   : al::WeightKind::none;
-  s.can_join_fills = flag(at(domain, "merges-fills"));
-  s.can_go_straight = flag(at(domain, "straight"));
-  s.has_fills = domain.is_object() && read_kinds(domain).origin >= 0;
-  return s;
-}
-
-json parse_settings(std::string_view text) {
-  const json j = json::parse(text.begin(), text.end(), nullptr, false);
-  if (!j.is_object()) throw WireError("the settings are not a JSON object");
-  const json& classes = at(j, "classes");
-  if (!classes.is_array() || classes.empty()) throw WireError("the settings name no classes");
-  return j;
-}
-
 al::Result result_of(std::uint16_t disposition) {
   switch (disposition) {
     case 0:
@@ -228,16 +135,15 @@
 
 struct Host::Instance {
   al::Router router;
-  Kinds kinds;
-  std::vector<std::string> fields;
+  config::Names names;
 
   al::Report report(const std::vector<float>& gauge) const {
     al::Report r;
-    for (std::size_t i = 0; i < gauge.size() && i < fields.size(); ++i) {
+    for (std::size_t i = 0; i < gauge.size() && i < names.report_fields.size(); ++i) {
       if (!std::isfinite(gauge[i])) continue;
-      if (fields[i] == "outstanding") r.inflight = gauge[i];
-      if (fields[i] == "utilization") r.utilization = gauge[i];
-      if (fields[i] == "x1") r.link_or_fetches = gauge[i];
+      if (names.report_fields[i] == "outstanding") r.inflight = gauge[i];
+      if (names.report_fields[i] == "utilization") r.utilization = gauge[i];
+      if (names.report_fields[i] == "x1") r.link_or_fetches = gauge[i];
     }
     return r;
   }
@@ -258,7 +164,11 @@
   return h;
 }
 
-al::Settings read_settings(std::string_view text) { return settings_of(parse_settings(text)); }
+std::pair<al::Settings, config::Names> read_settings(std::string_view text) {
+  try {
+    return config::read_settings(text);
+  } catch (const config::Error& e) { throw WireError(e.what()); }
+}
 
 std::string Host::answer(const BatchHeader& header, std::string_view body) {
   Reader r(body);
@@ -296,12 +206,9 @@
     switch (code) {
       case 1: {
         const auto seed = r.u64();
-        const json j = parse_settings(r.take(r.u32()));
-        std::vector<std::string> fields;
-        for (const auto& f : at(at(j, "load-report"), "fields")) fields.push_back(word(f));
+        auto [settings, names] = read_settings(r.take(r.u32()));
         replies.erase(who);
-        instances_.insert_or_assign(
-            who, Instance{al::Router(settings_of(j), seed), read_kinds(at(j, "domain")), std::move(fields)});
+        instances_.insert_or_assign(who, Instance{al::Router(settings, seed), std::move(names)});
         continue;
       }
       case 10:
@@ -320,8 +227,8 @@
           if (found == lists_.end()) throw WireError("a membership names a list that was not sent");
           for (const auto& l : found->second) {
             auto server = l.server;
-            if (instance && l.kind == instance->kinds.parent) server.role = al::Role::parent;
-            if (instance && l.kind == instance->kinds.origin) server.role = al::Role::origin;
+            if (instance && l.kind == instance->names.parent_kind) server.role = al::Role::parent;
+            if (instance && l.kind == instance->names.origin_kind) server.role = al::Role::origin;
             update.servers.push_back(server);
           }
         }
--- a/src/simhost/codec.h
+++ b/src/simhost/codec.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "alderspur/router.h"
+#include "config/config.h"
 
 namespace simhost {
 
@@ -27,7 +28,7 @@
 BatchHeader read_header(std::string_view bytes);
 
 // Settings as the wire states them. Throws WireError if they are not a JSON object or lack a class list.
-alderspur::Settings read_settings(std::string_view json);
+std::pair<alderspur::Settings, config::Names> read_settings(std::string_view json);
 
 // Hosts the instances that the frames speak of. Instances share nothing but the numbered lists.
 class Host {
--- a/tests/codec_test.cpp
+++ b/tests/codec_test.cpp
@@ -65,7 +65,7 @@
   EXPECT_EQ(reply.size(), 8u);
 }
 TEST(Codec, SettingsAreReadAndDefaulted) {
-  const auto s = simhost::read_settings(kSettings);
+  const auto s = simhost::read_settings(kSettings).first;
   ASSERT_EQ(s.classes.size(), 1u);
   EXPECT_EQ(s.classes[0].target, 500000);
   EXPECT_EQ(s.location.value, 1u);
