--- a/src/platform/caches.cpp
+++ b/src/platform/caches.cpp
@@ -125,6 +125,9 @@
 void Caches::put(Link& link, AttemptId attempt) {
   const core::Order* order = engine_.order(attempt);
   if (!order) return;
+  // Danger: clients may give two requests one id; answers are told apart by it, so each needs its own
+  // connection.
+  if (link.open.contains(std::string(order->id))) return send(attempt, order->server);
   std::string source;
   if (order->fill && order->fill->source != order->server)
     if (const auto s = servers_.find(order->fill->source); s != servers_.end())
--- a/tests/loopback.h
+++ b/tests/loopback.h
@@ -41,6 +41,10 @@
   void write(std::string_view bytes) {
     if (fd_ >= 0) (void)!::send(fd_, bytes.data(), bytes.size(), MSG_NOSIGNAL);
   }
+  std::size_t write_some(std::string_view bytes) {
+    const ssize_t n = ::send(fd_, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+    return n > 0 ? static_cast<std::size_t>(n) : 0;
+  }
   void poll() {
     char buffer[65536];
     for (ssize_t n = 1; fd_ >= 0 && n > 0;) {
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -214,6 +214,79 @@
   ASSERT_TRUE(until([&] { return again->in == "watch 2\n"; }));
 }
 
+// Guards against a listener that spins, or forgets its clients, once the places for them are taken.
+TEST_F(Platform, ClientsBeyondTheBudgetWaitUntilOthersLeave) {
+  std::vector<std::unique_ptr<loopback::Socket>> clients;
+  for (int i = 0; i < 70; ++i) clients.push_back(client(front->address()));  // the story allows 64
+  settle();
+  EXPECT_GT(engine->counters().accepts_put_off, 0u);
+  EXPECT_LT(engine->counters().accepts_put_off, 20u) << "it rests between tries";
+  auto& last = *clients.back();
+  last.write(request(1, "asset", {}));
+  watched.assign(1, &last);
+  clients.erase(clients.begin(), clients.begin() + 20);
+  ASSERT_TRUE(until([&] { return fetches() == 1; }));
+  Box::answer(*fetch(), "served", "at last");
+  ASSERT_TRUE(until([&] { return answers(last.in).size() == 1; }));
+}
+
+// Guards against one slow reader holding up the others or losing bytes of its own.
+TEST_F(Platform, ASlowReaderGetsEverythingInTheEndAndHoldsUpNobody) {
+  auto slow = client(front->address()), quick = client(front->address());
+  watched.assign(1, quick.get());
+  const std::string body(240'000, 'y');
+  for (unsigned i = 1; i <= 24; ++i) slow->write(request(i, "asset", {}));
+  ASSERT_TRUE(until([&] { return fetches() == 24; }));
+  for (std::size_t i = 1; i <= 24; ++i) {
+    const Command c = *fetch(i);
+    const std::string head = c.id + " served - 240000\r\n";
+    // The stand-in box waits for room; the router reads it meanwhile.
+    std::string all = head + body + "\r\n";
+    ASSERT_TRUE(until([&] {
+      all.erase(0, c.from->write_some(all));
+      return all.empty();
+    }));
+  }
+  quick->write(request(1, "asset", {}));
+  ASSERT_TRUE(until([&] { return fetches() == 25; }));
+  for (auto& b : box)
+    if (!b.commands.empty() && b.commands.back().from) Box::answer(b.commands.back(), "served", "quick");
+  ASSERT_TRUE(until([&] { return answers(quick->in).size() == 1; }));
+  watched.push_back(slow.get());
+  ASSERT_TRUE(until([&] { return slow->in.size() > 24 * body.size() && answers(slow->in).size() == 24; }));
+  for (const auto& a : answers(slow->in)) EXPECT_EQ(a.body, body);
+}
+
+// Guards against a connect that never comes up: nothing ran, so the next box is asked in time.
+TEST_F(Platform, AConnectThatHangsIsGivenUpAndTheRequestMovesOn) {
+  sockaddr_in at{};
+  const int full = loopback::bound(at);
+  ::listen(full, 0);
+  std::vector<int> fillers;
+  for (int i = 0; i < 4; ++i) {  // its queue is full: further connects hang
+    fillers.push_back(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0));
+    (void)::connect(fillers.back(), reinterpret_cast<const sockaddr*>(&at), sizeof at);
+  }
+  config.dial_timeout = 300'000;
+  auto member = config.notices[0].members[0];
+  member.address = net::to_string(at);
+  caches->update(member);
+  auto c = client(front->address());
+  for (unsigned i = 1; i <= 6; ++i)
+    c->write(request(i, "plan-accept", {{"item", "000000000000000" + std::to_string(i)}, {"unique", "k"}}));
+  std::size_t answered = 0;
+  ASSERT_TRUE(until([&] {
+    for (; answered < box[1].commands.size(); ++answered)
+      if (box[1].commands[answered].word == "fetch")
+        Box::answer(box[1].commands[answered], "served", "moved");
+    return answers(c->in).size() == 6;
+  }));
+  EXPECT_EQ(engine->counters().attempts_reset + engine->counters().attempts_timeout, 0u);
+  EXPECT_GE(engine->counters().attempts_unconnected, 1u);
+  for (const int fd : fillers) ::close(fd);
+  ::close(full);
+}
+
 // The core alone: a backend and a front that only write down what they are told.
 struct Recorder : core::Backend, core::Front {
   void send(core::AttemptId a, alderspur::ServerId) override { sent.push_back(a); }
