--- a/include/alderspur/router.h
+++ b/include/alderspur/router.h
@@ -198,6 +198,13 @@
 struct Subscribe {};  // to fleet changes; answered by a FleetUpdate
 using Action = std::variant<Send, Refuse, Fail, Cancel, Probe, SetTimer, Subscribe>;
 
+// How a cache of the own location stands with the router now, for others to follow its decisions.
+struct Standing {
+  Server server;
+  bool usable = false;  // ready, and not put out for its health
+  double share = 0;     // of the traffic, in units of weight: less while it is cold
+};
+
 class Router {
  public:
   Router(const Settings& settings, std::uint64_t seed);
@@ -207,6 +214,7 @@
 
   // Takes one event and appends what to do about it.
   void handle(Time now, const Event& event, std::vector<Action>& actions);
+  std::vector<Standing> standings(Time now);
 
  private:
   class Impl;
--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -75,6 +75,14 @@
     std::visit([this](const auto& e) { on(e); }, event);
     out_ = nullptr;
   }
+  std::vector<Standing> standings(Time now) {
+    now_ = std::max(now_, now);
+    std::vector<Standing> out;
+    for (auto& [id, n] : nodes_)
+      if (n.at.role == Role::cache && n.at.location == set_.location)
+        out.push_back({n.at, n.ready() && usable(n), weight(n) * (n.cold ? cold_share(n) : 1)});
+    return out;
+  }
 
  private:
   const Settings set_;
@@ -395,15 +403,18 @@
 
   // ---- Cold ledger ----
 
+  double cold_share(const Node& n) const {
+    const bool parent = n.at.role == Role::parent;
+    const double from = parent ? set_.parent_cold_from : set_.cache_cold_from;
+    const Time span = std::max<Time>(1, parent ? set_.parent_cold : set_.cache_cold);
+    const double grown = static_cast<double>(now_ - n.cold_since) / static_cast<double>(span);
+    return from + (1 - from) * std::clamp(grown, 0.0, 1.0);
+  }
   // Transfers at a time that this router may ask of a cold server now: its part of a capacity that rises
   // evenly from the least the settings promise, estimated low.
   double allowance(const Node& n) {
     const bool parent = n.at.role == Role::parent;
-    const double from = parent ? set_.parent_cold_from : set_.cache_cold_from;
-    const Time span = std::max<Time>(1, parent ? set_.parent_cold : set_.cache_cold);
-    const double grown =
-        std::clamp(static_cast<double>(now_ - n.cold_since) / static_cast<double>(span), 0.0, 1.0);
-    const double share = from + (1 - from) * grown;
+    const double share = cold_share(n);
     const double sharers = parent ? std::max(1u, set_.routers) : neighbours();
     if (sized()) return kColdUse * share * n.at.weight / sharers;
     const double carry = (parent ? parent_carry_ : cache_carry_).most;
@@ -829,5 +840,6 @@
 void Router::handle(Time now, const Event& event, std::vector<Action>& actions) {
   impl_->handle(now, event, actions);
 }
+std::vector<Standing> Router::standings(Time now) { return impl_->standings(now); }
 
 }  // namespace alderspur
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -263,6 +263,14 @@
   return s;
 }
 
+Xds read_xds(std::string_view text) {
+  const auto j = parse(text);
+  if (!j.IsObject()) throw Error("the xDS file is not a JSON object");
+  Xds x{flag(at(j, "enabled")), word(at(j, "listen")), word(at(j, "cluster"))};
+  if (x.enabled && x.cluster.empty()) throw Error("the xDS server is on but names no cluster");
+  return x;
+}
+
 std::string read_text(const std::string& path) {
   std::ifstream in(path, std::ios::binary);
   std::ostringstream text;
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -70,6 +70,12 @@
   std::vector<Route> routes;
 };
 
+// The xDS server's own file.
+struct Xds {
+  bool enabled = false;
+  std::string listen, cluster;
+};
+Xds read_xds(std::string_view text);
 // The settings alone, as a router is given them, also on the simulator's wire. Throws Error.
 std::pair<alderspur::Settings, Names> read_settings(std::string_view text);
 // Throws Error with one plain line.
--- a/src/core/engine.h
+++ b/src/core/engine.h
@@ -94,6 +94,7 @@
   Time now();  // never steps back
   std::size_t held() const { return open_; }
   std::size_t held_bytes() const { return held_bytes_; }
+  std::vector<module::Standing> standings() { return router_.standings(now()); }
   Counters& counters() { return counters_; }
 
  private:
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -13,6 +13,7 @@
 #include "platform/caches.h"
 #include "platform/rpc_front.h"
 #include "signed/http_front.h"
+#include "xds/server.h"
 
 namespace {
 
@@ -53,6 +54,10 @@
   const auto signed_settings = config::read_signed(
       config::read_text(signed_path.empty() ? "deploy/signed.json" : signed_path), config);
   if (signed_settings.enabled) address(signed_settings.listen, "signed front's listen");
+  const std::string xds_path = variable("ALDERSPUR_XDS");
+  const auto xds_settings =
+      config::read_xds(config::read_text(xds_path.empty() ? "deploy/xds.json" : xds_path));
+  if (xds_settings.enabled) address(xds_settings.listen, "xDS server's listen");
 
   core::Deadlines deadlines;
   net::Loop loop(deadlines);
@@ -67,8 +72,12 @@
   if (signed_settings.enabled)
     links = std::make_unique<signed_urls::HttpFront>(loop, deadlines, engine, config, signed_settings,
                                                      net::unix_now);
+  std::unique_ptr<xds::Server> discovery;
+  if (xds_settings.enabled)
+    discovery = std::make_unique<xds::Server>(loop, deadlines, engine, caches, xds_settings, 32);
   std::fprintf(stderr, "platform clients on %s\n", net::to_string(front.address()).c_str());
   if (links) std::fprintf(stderr, "signed links on %s\n", net::to_string(links->address()).c_str());
+  if (discovery) std::fprintf(stderr, "xDS on %s\n", net::to_string(discovery->address()).c_str());
 
   core::Time leave_at = 0;
   const auto print_counters = [&] {
@@ -89,6 +98,7 @@
     engine.run();
     front.end_turn();
     if (links) links->end_turn();
+    if (discovery) discovery->end_turn();
     caches.end_turn();
     board.end_turn();
     engine.run();  // clients and servers let go of just now
--- a/src/platform/caches.cpp
+++ b/src/platform/caches.cpp
@@ -285,6 +285,11 @@
   engine_.probed(link.server->member.server.id, ok, engine_.now() - open.sent, report_of(report));
 }
 
+std::string Caches::address(al::ServerId server) const {
+  const auto it = servers_.find(server);
+  return it == servers_.end() ? std::string() : it->second->member.address;
+}
+
 void Caches::sweep() {
   const core::Time now = engine_.now();
   deadlines_.set(now + kSweep, [this] { sweep(); });
--- a/src/platform/caches.h
+++ b/src/platform/caches.h
@@ -28,6 +28,8 @@
   void abort(core::AttemptId attempt) override;
   void probe(alderspur::ServerId server) override;
 
+  std::string address(alderspur::ServerId server) const;  // empty: not known
+
   void end_turn();
   std::size_t links() const { return link_count_; }
 
--- /dev/null
+++ b/src/xds/eds.cpp
@@ -0,0 +1,87 @@
+#include "xds/eds.h"
+
+#include <rapidjson/document.h>
+#include <rapidjson/stringbuffer.h>
+#include <rapidjson/writer.h>
+
+#include <algorithm>
+#include <cmath>
+
+namespace xds {
+namespace al = alderspur;
+namespace {
+
+constexpr std::string_view kType = "type.googleapis.com/envoy.config.endpoint.v3.ClusterLoadAssignment";
+using Writer = rapidjson::Writer<rapidjson::StringBuffer>;
+
+void text(Writer& w, std::string_view s) { w.String(s.data(), static_cast<rapidjson::SizeType>(s.size())); }
+
+void assignment(Writer& w, const std::string& cluster, const std::vector<al::Standing>& standings,
+                const std::function<std::string(al::ServerId)>& address) {
+  w.StartObject();
+  w.Key("@type"), text(w, kType);
+  w.Key("cluster_name"), text(w, cluster);
+  w.Key("endpoints"), w.StartArray(), w.StartObject();
+  w.Key("lb_endpoints"), w.StartArray();
+  for (const auto& s : standings) {
+    const auto at = address(s.server.id);
+    const auto colon = at.rfind(':');
+    if (s.server.status == al::Status::gone || colon == std::string::npos) continue;
+    w.StartObject();
+    w.Key("endpoint"), w.StartObject(), w.Key("address"), w.StartObject();
+    w.Key("socket_address"), w.StartObject();
+    w.Key("address"), text(w, std::string_view(at).substr(0, colon));
+    w.Key("port_value"), w.Int(std::atoi(at.c_str() + colon + 1));
+    w.EndObject(), w.EndObject(), w.EndObject();
+    const bool draining = s.server.status == al::Status::draining;
+    w.Key("health_status"), text(w, draining ? "DRAINING" : s.usable ? "HEALTHY" : "UNHEALTHY");
+    // In tenths: a finer share of a warming cache would make a new version with every poll.
+    w.Key("load_balancing_weight"), w.Uint(static_cast<unsigned>(std::max(1.0, std::round(s.share * 10))));
+    w.EndObject();
+  }
+  w.EndArray(), w.EndObject(), w.EndArray(), w.EndObject();
+}
+
+std::string version_of(std::string_view resource) {
+  std::uint64_t hash = 0xcbf29ce484222325ULL;
+  for (const char c : resource) hash = (hash ^ static_cast<unsigned char>(c)) * 0x100000001b3ULL;
+  return std::to_string(hash);
+}
+
+}  // namespace
+
+Reply discover(std::string_view request, const std::string& cluster,
+               const std::vector<al::Standing>& standings,
+               const std::function<std::string(al::ServerId)>& address) {
+  rapidjson::Document j;
+  j.Parse<rapidjson::kParseIterativeFlag>(request.data(), request.size());
+  const auto member = [&](const char* name) {
+    const auto it = j.FindMember(name);
+    return it != j.MemberEnd() && it->value.IsString()
+               ? std::string_view(it->value.GetString(), it->value.GetStringLength())
+               : std::string_view();
+  };
+  if (j.HasParseError() || !j.IsObject()) return {400, {}};
+  if (const auto type = member("type_url"); !type.empty() && type != kType) return {400, {}};
+  bool named = true;
+  if (const auto names = j.FindMember("resource_names"); names != j.MemberEnd() && names->value.IsArray()) {
+    named = names->value.Empty();
+    for (const auto& n : names->value.GetArray()) named |= n.IsString() && cluster == n.GetString();
+  }
+  rapidjson::StringBuffer resource;
+  Writer inner(resource);
+  if (named) assignment(inner, cluster, standings, address);
+  const auto version = version_of(resource.GetString());
+  if (member("version_info") == version) return {304, {}};
+  rapidjson::StringBuffer out;
+  Writer w(out);
+  w.StartObject();
+  w.Key("version_info"), text(w, version);
+  w.Key("type_url"), text(w, kType);
+  w.Key("resources"), w.StartArray();
+  if (named) w.RawValue(resource.GetString(), resource.GetSize(), rapidjson::kObjectType);
+  w.EndArray(), w.EndObject();
+  return {200, out.GetString()};
+}
+
+}  // namespace xds
--- a/tests/process_test.cpp
+++ b/tests/process_test.cpp
@@ -27,6 +27,7 @@
       ::dup2(ends[1], 2);
       ::setenv("RELAY_CONFIG", (folder_ + "/config.json").c_str(), 1);
       ::setenv("ALDERSPUR_SIGNED", (folder_ + "/signed.json").c_str(), 1);
+      ::setenv("ALDERSPUR_XDS", (folder_ + "/signed.json").c_str(), 1);  // off as well
       ::unsetenv("RELAY_LISTEN");
       ::execl(ALDERSPUR_EDGE_PROGRAM, ALDERSPUR_EDGE_PROGRAM, nullptr);
       ::_exit(99);
--- /dev/null
+++ b/tests/xds_test.cpp
@@ -0,0 +1,104 @@
+// Discovery over loopback: a stand-in proxy polls for the endpoints and follows the router's decisions.
+#include <rapidjson/document.h>
+
+#include <algorithm>
+#include <sstream>
+
+#include "loopback.h"
+#include "xds/server.h"
+
+namespace {
+
+class Discovery : public loopback::Story {
+ protected:
+  void SetUp() override {
+    Story::SetUp();
+    server = std::make_unique<xds::Server>(loop, deadlines, *engine, *caches, settings, 4);
+    proxy = client(server->address());
+  }
+  static std::string post(const std::string& body, const std::string& path = "/v3/discovery:endpoints") {
+    return "POST " + path + " HTTP/1.1\r\nHost: x\r\nContent-Type: application/json\r\nContent-Length: " +
+           std::to_string(body.size()) + "\r\n\r\n" + body;
+  }
+  // The next whole response; its status, with the JSON in `body`.
+  int next() {
+    std::size_t head = 0, length = 0;
+    EXPECT_TRUE(until([&] {
+      server->end_turn();
+      head = proxy->in.find("\r\n\r\n");
+      if (head == std::string::npos) return false;
+      const auto at = proxy->in.find("Content-Length: ");
+      length = at < head ? std::stoul(proxy->in.substr(at + 16)) : 0;
+      return proxy->in.size() >= head + 4 + length;
+    }));
+    const int status = std::stoi(proxy->in.substr(9, 3));
+    body.Parse(proxy->in.substr(head + 4, length).c_str());
+    proxy->in.erase(0, head + 4 + length);
+    return status;
+  }
+  std::string health(const std::string& address) {
+    for (const auto& e : body["resources"][0]["endpoints"][0]["lb_endpoints"].GetArray()) {
+      const auto& at = e["endpoint"]["address"]["socket_address"];
+      if (at["address"].GetString() + (":" + std::to_string(at["port_value"].GetInt())) == address)
+        return e["health_status"].GetString();
+    }
+    return "absent";
+  }
+  static constexpr const char* kAsk =
+      R"({"type_url":"type.googleapis.com/envoy.config.endpoint.v3.ClusterLoadAssignment",
+          "resource_names":["edge-boxes"],"node":{"id":"proxy-1"}})";
+  config::Xds settings{true, "127.0.0.1:0", "edge-boxes"};
+  std::unique_ptr<xds::Server> server;
+  std::unique_ptr<loopback::Socket> proxy;
+  rapidjson::Document body;
+};
+
+TEST_F(Discovery, AProxyLearnsOfABoxThatTheRouterHasPutOutAndOfADrain) {
+  proxy->write(post(kAsk));
+  ASSERT_EQ(next(), 200);
+  EXPECT_EQ(health(box[0].address()), "HEALTHY");
+  EXPECT_EQ(health(box[1].address()), "HEALTHY");
+  EXPECT_EQ(health(origin.address()), "absent") << "endpoints are the caches of the point";
+  const std::string version = body["version_info"].GetString();
+  const std::string again = R"({"version_info":")" + version + R"("})";
+  proxy->write(post(again) + post(again));  // pipelined, nothing has changed
+  EXPECT_EQ(next(), 304);
+  EXPECT_EQ(next(), 304);
+
+  box[0].stop();
+  auto c = client(http->address());
+  for (std::uint64_t o = 1; o <= 6; ++o) {  // requests find it dead; the module puts it out
+    core::Demand d;
+    const std::string id = "id" + std::to_string(o);
+    d.id = d.object_text = id;
+    d.object = o;
+    d.limit = 10'000'000;
+    engine->take(*http, d);
+  }
+  ASSERT_TRUE(until([&] { return engine->counters().attempts_unconnected >= 2; }));
+  proxy->write(post(again));
+  ASSERT_EQ(next(), 200);
+  EXPECT_EQ(health(box[0].address()), "UNHEALTHY");
+  EXPECT_EQ(health(box[1].address()), "HEALTHY");
+
+  auto member = config.notices[0].members[1];
+  member.server.status = alderspur::Status::draining;
+  caches->update(member);
+  engine->fleet({false, false, {member.server}});
+  proxy->write(post(kAsk));
+  ASSERT_EQ(next(), 200);
+  EXPECT_EQ(health(box[1].address()), "DRAINING");
+}
+
+TEST_F(Discovery, MistakesAreAnsweredAndAnotherClusterIsEmpty) {
+  proxy->write(post(R"({"resource_names":["other"]})") + post("{}", "/v3/discovery:clusters") +
+               post("not json"));
+  EXPECT_EQ(next(), 200);
+  EXPECT_EQ(body["resources"].Size(), 0u);
+  EXPECT_EQ(next(), 404);
+  EXPECT_EQ(next(), 400);
+  proxy->write("GET /v3/discovery:endpoints HTTP/1.1\r\nHost: x\r\n\r\n");
+  EXPECT_EQ(next(), 405);
+}
+
+}  // namespace
