--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -36,7 +36,7 @@
 constexpr double kRetryPart = 0.15, kRetrySaved = 6, kHedgePart = 0.06, kHedgeSaved = 6;
 // Admission: the sending seconds out at the location's caches stay under a limit that moves with the time
 // attempts take over their aim: by kLimitStep of the distance from kCrowdAim with each answer.
-constexpr double kCrowdAim = 0.4, kCrowdMost = 2, kLimitStep = 0.03;
+constexpr double kCrowdAim = 0.3, kCrowdMost = 2, kLimitStep = 0.03;
 constexpr double kLimitLeast = 0.5;  // seconds for a cache
 constexpr double kCheapRoom = 2;     // over the limit, for requests that cost little for their worth
 constexpr double kFetchAim = 0.5, kFetchLeast = 1.5;  // the same for work that may wait for the origin
