--- /dev/null
+++ b/tests/mangled_test.cpp
@@ -0,0 +1,108 @@
+// Mangled input to every codec: no crash, no read out of bounds, nothing taken beyond what came. The same
+// seeds each time, so that the verdict never changes.
+#include <gtest/gtest.h>
+
+#include <functional>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "config/config.h"
+#include "platform/lines.h"
+#include "platform/rpc.h"
+#include "signed/http.h"
+#include "signed/token.h"
+#include "xds/eds.h"
+
+namespace {
+
+// Calls `read` with many spoiled copies of `good`, each in memory of just its size.
+void mangle(const std::string& good, const std::function<void(std::string_view)>& read) {
+  std::mt19937 random(7);
+  for (int round = 0; round < 3000; ++round) {
+    std::string s = good;
+    for (unsigned n = random() % 4; n-- > 0;) s[random() % s.size()] = static_cast<char>(random());
+    if (random() % 3 == 0) s.resize(random() % (s.size() + 1));
+    if (random() % 5 == 0) s.insert(random() % (s.size() + 1), s.substr(0, random() % (s.size() + 1)));
+    const std::vector<char> exact(s.begin(), s.end());
+    read({exact.data(), exact.size()});
+  }
+}
+
+TEST(Mangled, ClientsFrames) {
+  const std::string good(
+      "\x94\x00\x01\xa5"
+      "asset\x92\x83\xa3txn\xa2"
+      "ab\xa5limit\xa5"
+      "20000\xa4item\xa2"
+      "7f\xc4\x03xyz",
+      43);
+  int whole = 0;
+  mangle(good, [&](std::string_view bytes) {
+    platform::Call call;
+    core::Demand demand;
+    for (auto before = bytes.size() + 1; bytes.size() < before;) {
+      before = bytes.size();
+      if (platform::next_call(bytes, call) != platform::Parsed::whole) break;
+      if (!platform::to_demand(call, demand)) continue;
+      ++whole;
+      EXPECT_EQ(demand.id.find_first_of(" ,=\r\n"), demand.id.npos);
+    }
+  });
+  EXPECT_GT(whole, 100);
+}
+
+TEST(Mangled, CachesAnswers) {
+  mangle("9b1f served sum=ab,t0=1764576000000,rep=inflight:7;x1:0.5 5\r\nbytes\r\np1 green - 0\r\n\r\n",
+         [](std::string_view bytes) {
+           platform::LineAnswer a;
+           for (auto before = bytes.size() + 1; bytes.size() < before;) {
+             before = bytes.size();
+             if (platform::next_answer(bytes, a) != platform::Parsed::whole) break;
+             platform::report_of(a.report);
+             EXPECT_LE(a.body.size(), 240'000u);
+           }
+         });
+}
+
+TEST(Mangled, HttpHeadsAndTokens) {
+  const signed_urls::Key key{"k", "a secret of the tests", 0};
+  const std::string text = "/asset/7f3a9c21e0b4d655/0?set=17&nbf=1&exp=99999999999&kid=k";
+  const std::string link = text + "&sig=" + signed_urls::signature(key, text);
+  const signed_urls::Checker checker({key}, 5);
+  signed_urls::Claims claims;
+  ASSERT_EQ(checker.check("/asset/7f3a9c21e0b4d655/0", link, 100, claims), signed_urls::Check::good);
+  mangle(link, [&](std::string_view bytes) {
+    if (bytes == link) return;
+    EXPECT_NE(checker.check("/asset/7f3a9c21e0b4d655/0", bytes, 100, claims), signed_urls::Check::good)
+        << bytes;
+    signed_urls::from_base64url(bytes);
+  });
+  mangle("GET " + link + " HTTP/1.1\r\nHost: x\r\nCookie: a=b; alderspur=c\r\nIf-None-Match: \"t\"\r\n\r\n",
+         [](std::string_view bytes) {
+           signed_urls::HttpRequest request;
+           const auto before = bytes.size();
+           signed_urls::next_request(bytes, request);
+           EXPECT_LE(bytes.size(), before);
+           signed_urls::cookie_value(request.cookie, "alderspur");
+           signed_urls::bare_tag(request.if_none_match);
+         });
+}
+
+TEST(Mangled, NoticesSettingsAndDiscovery) {
+  const config::Names names;
+  mangle(R"({"rev":41,"pool":{"complete":false,"members":[{"id":"s","host_port":"127.0.0.1:1","size":4}]},
+         "flush":{"asset":"7f3a","ms":1764576000123}})",
+         [&](std::string_view bytes) { config::read_notice(bytes, names); });
+  mangle(
+      R"({"limits":{"sockets":64},"settings":{"classes":[{"name":"a","target":1e6}],"ceilings":{"max-attempts":3}}})",
+      [](std::string_view bytes) {
+        try {
+          config::read(bytes);
+        } catch (const config::Error&) {}
+      });
+  mangle(R"({"type_url":"","version_info":"1","resource_names":["c"]})",
+         [](std::string_view bytes) { xds::discover(bytes, "c", {}, [](auto) { return std::string(); }); });
+}
+
+}  // namespace
