--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -248,7 +248,9 @@
   // The object's set first, its least served member ahead; then the rest of the hash order.
   std::vector<Node*> line_for(Object& o, ObjectId id) {
     auto line = ranked(caches_, id);
-    if (std::any_of(line.begin(), line.end(), [&](Node* n) { return usable(*n); }))
+    // Danger: the dead of a lost point, asked as a last resort, hold a request past the time to try
+    // elsewhere.
+    if (set_.may_probe || std::any_of(line.begin(), line.end(), [&](Node* n) { return usable(*n); }))
       std::erase_if(line, [&](Node* n) { return !usable(*n); });
     const std::size_t width = std::min({o.width, cap(), line.size()});
     if (width < 2) return uncrowded(line, id);
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -686,6 +686,24 @@
   bed.tell(Probed{{20}, false, 250 * ms, {}});
   for (std::uint64_t o = 1; o <= 40; ++o) EXPECT_NE(bed.sends[bed.ask(o)][0].fill->source, ServerId{20});
 }
+// Guards against holding requests on a point whose caches are all known to be out: probes find them again.
+TEST(Health, WhereProbesWatchALostPointItsRequestsAreRefusedAtOnce) {
+  auto s = site();
+  s.may_duplicate = false;
+  s.may_probe = true;
+  Bed bed(s);
+  for (std::uint64_t o = 1; o <= 40; ++o) {
+    const auto id = bed.ask(o);
+    for (std::uint32_t k = 0; k < bed.sends[id].size(); ++k)
+      bed.end(id, Result::connect_failed, Note::none, k);
+  }
+  const auto id = bed.ask(100);
+  EXPECT_TRUE(bed.sends[id].empty());
+  EXPECT_EQ(bed.answers[id], 1);
+  bed.advance(2 * second);
+  for (std::uint64_t c = 1; c <= 4; ++c) bed.tell(Probed{{c}, true, ms, {}});
+  EXPECT_FALSE(bed.sends[bed.ask(101)].empty());
+}
 // Guards against taking a request's own sending for a crowd: large objects alone closed the door.
 TEST(Admission, LargeObjectsSentAtTopPaceDoNotCloseTheDoor) {
   Bed bed;
