On SIGHUP read the settings anew and move the watch to the new board

Cause: main.cpp installed no handler for SIGHUP, whose default ends the process; Board had no way to leave an address. Checked: SIGTERM and SIGUSR1 are handled in the loop; a board that stops telling was found only after 2.5 s plus up to 0.5 s, now 1.8 s plus 0.25 s.

Now the file is read anew, its known notices are taken in, the watch moves from the last number held on and the old connection is dropped, silent or not. An unreadable file is reported and nothing changes.

A message is measured first now; what claims more than a message may hold ends at its header.

--- a/src/main.cpp
+++ b/src/main.cpp
@@ -45,6 +45,21 @@
       n(c.bad_requests), n(c.bad_answers), n(c.bad_tokens), n(c.accepts_put_off), n(c.slow_readers));
 }
 
+// Danger: an operator's half-written file must not end a router under load. Only the board's address can
+// change while it runs; the rest describes the process itself and is named so that nobody waits for it.
+void reload(const std::string& path, const config::Config& running, platform::Board& board) {
+  try {
+    const auto renewed = config::read_file(path);
+    if (!board.move(renewed)) throw config::Error("no usable board address: '" + renewed.board + "'");
+    std::fprintf(stderr, "settings read anew, board at %s\n", renewed.board.c_str());
+    if (renewed.memory_mb != running.memory_mb || renewed.sockets != running.sockets ||
+        renewed.names.classes != running.names.classes)
+      std::fprintf(stderr, "limits and classes have changed too: they hold from the next start\n");
+  } catch (const std::exception& e) {
+    std::fprintf(stderr, "reload: %s; the settings stay as they were\n", e.what());
+  }
+}
+
 int serve() {
   const std::string path = variable("RELAY_CONFIG");
   if (path.empty()) throw config::Error("RELAY_CONFIG names no configuration");
@@ -91,6 +106,7 @@
       if (links) links->begin_leaving(), links->stop_listening();
     });
   });
+  loop.on_signal(SIGHUP, [&] { reload(path, config, board); });
   loop.on_signal(SIGINT, [&] { loop.stop(); });
   loop.on_signal(SIGUSR1, print_counters);
   loop.on_turn([&] {
@@ -115,6 +131,7 @@
 
 int main() {
   std::signal(SIGPIPE, SIG_IGN);
+  std::signal(SIGHUP, SIG_IGN);  // until the loop watches for it
   try {
     return serve();
   } catch (const std::exception& e) {
--- a/src/platform/board.cpp
+++ b/src/platform/board.cpp
@@ -5,8 +5,8 @@
 
 namespace {
 
-constexpr core::Time kAgain = 200'000, kCheck = 500'000;
-constexpr core::Time kSilence = 2'500'000;  // a line comes every second
+constexpr core::Time kAgain = 200'000, kCheck = 250'000;
+constexpr core::Time kSilence = 1'800'000;  // a line comes every second
 constexpr core::Time kGapPatience = 1'500'000;
 constexpr std::size_t kLineMost = 4 << 20, kAheadMost = 4096;
 
@@ -53,19 +53,38 @@
   connection_->write("watch " + std::to_string(held_) + "\n");
 }
 
+void Board::drop() {
+  if (!connection_) return;
+  connection_->close();
+  graves_.push_back(std::move(connection_));  // its callback may be running
+}
+
 void Board::try_again() {
-  if (connection_) {
-    connection_->close();
-    graves_.push_back(std::move(connection_));
-  }
+  drop();
   if (waiting_) return;
-  waiting_ = true;
-  deadlines_.set(engine_.now() + kAgain, [this] {
-    waiting_ = false;
+  waiting_ = deadlines_.set(engine_.now() + kAgain, [this] {
+    waiting_.reset();
     connect();
   });
 }
 
+// Danger: the old board accepts nobody, tells nothing more and may still be open for seconds; a gap it left
+// is filled by the new one, since the numbers go on.
+bool Board::move(const config::Config& renewed) {
+  const auto at = net::parse_address(renewed.board);
+  if (!at) return false;
+  for (const auto& n : renewed.notices) apply(n);
+  const bool first = !address_.sin_port;
+  address_ = *at;
+  if (waiting_) deadlines_.clear(*waiting_);
+  waiting_.reset();
+  gap_since_ = 0;
+  drop();
+  connect();
+  if (first) listen_for_life();
+  return true;
+}
+
 // Danger: a board that fell silent leaves its connection open; drains and purges would pass unheard.
 void Board::listen_for_life() {
   const core::Time now = engine_.now();
--- a/src/platform/board.h
+++ b/src/platform/board.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -16,12 +17,17 @@
  public:
   Board(net::Loop& loop, core::Deadlines& deadlines, core::Engine& engine, Caches& caches,
         const config::Config& config);
+  // The settings were read anew: what they know already is taken in, and the watch moves to their board from
+  // the last number held on, whatever state the old connection is in. False: they name no usable address,
+  // and the watch stays where it is.
+  bool move(const config::Config& renewed);
   void end_turn();
 
  private:
   void apply(const config::Notice& notice);
   void connect();
   void try_again();
+  void drop();
   void listen_for_life();
   std::ptrdiff_t take(std::string_view bytes);
 
@@ -36,7 +42,7 @@
   std::uint64_t held_ = 0;         // all up to it have been applied
   std::set<std::uint64_t> ahead_;  // applied beyond a gap
   core::Time heard_ = 0, gap_since_ = 0;
-  bool waiting_ = false;
+  std::optional<core::Deadlines::Key> waiting_;
 };
 
 }  // namespace platform
--- a/src/platform/rpc.cpp
+++ b/src/platform/rpc.cpp
@@ -91,24 +91,58 @@
   msgpack_pack_uint64(p.get(), id);
 }
 
+// Where the message at the front of `bytes` ends. Danger: the library claims memory by the counts that it
+// reads and takes a message's start apart anew with every read. What can't fit ends here, at its header.
+Parsed measure(std::string_view bytes, std::size_t& size) {
+  std::size_t at = 0;
+  for (std::uint64_t items = 1; items > 0; --items) {
+    if (at >= bytes.size()) return Parsed::partial;
+    const auto c = static_cast<unsigned char>(bytes[at++]);
+    const auto number = [&](std::size_t width) {
+      std::uint64_t n = 0;
+      for (std::size_t i = 0; i < width; ++i) n = n << 8 | static_cast<unsigned char>(bytes[at + i]);
+      return n;
+    };
+    std::size_t width = 0;  // of the length or count that follows the first byte
+    std::uint64_t skip = 0;
+    if (c == 0xc1) return Parsed::unreadable;
+    if (c >= 0xc4 && c <= 0xc9) width = std::size_t{1} << (c - 0xc4) % 3;
+    else if (c >= 0xd9 && c <= 0xdb) width = std::size_t{1} << (c - 0xd9);
+    else if (c >= 0xdc && c <= 0xdf) width = std::size_t{2} << (c - 0xdc) % 2;
+    if (bytes.size() - at < width) return Parsed::partial;
+    if (c >= 0x80 && c <= 0x8f) items += 2u * (c & 15u);
+    else if (c >= 0x90 && c <= 0x9f) items += c & 15u;
+    else if (c >= 0xa0 && c <= 0xbf) skip = c & 31u;
+    else if (c >= 0xdc && c <= 0xdf) items += number(width) * (c < 0xde ? 1 : 2);
+    else if (width) skip = width + number(width) + (c >= 0xc7 && c <= 0xc9 ? 1 : 0);
+    else if (c == 0xca || c == 0xcb) skip = c == 0xca ? 4 : 8;
+    else if (c >= 0xcc && c <= 0xd3) skip = std::uint64_t{1} << c % 4;
+    else if (c >= 0xd4 && c <= 0xd8) skip = 1 + (std::uint64_t{1} << (c - 0xd4));
+    if (c >= 0xdc && c <= 0xdf) skip = width;
+    if (at + skip + items - 1 > kMessageMost) return Parsed::unreadable;
+    if (bytes.size() - at < skip) return Parsed::partial;
+    at += static_cast<std::size_t>(skip);
+  }
+  size = at;
+  return Parsed::whole;
+}
+
 }  // namespace
 
 Parsed next_call(std::string_view& bytes, Call& call) {
   call = {};
   if (bytes.empty()) return Parsed::partial;
-  // Danger: the first byte tells an array of three or four; a false huge length must not claim memory.
   const auto first = static_cast<unsigned char>(bytes[0]);
-  if (first != 0x93 && first != 0x94) return Parsed::unreadable;
+  if (first != 0x93 && first != 0x94) return Parsed::unreadable;  // an array of three or four
+  std::size_t size = 0;
+  if (const auto measured = measure(bytes, size); measured != Parsed::whole) return measured;
   msgpack_unpacked unpacked;
   msgpack_unpacked_init(&unpacked);
   const std::unique_ptr<msgpack_unpacked, void (*)(msgpack_unpacked*)> guard(&unpacked,
                                                                              msgpack_unpacked_destroy);
   std::size_t used = 0;
-  const auto result =
-      msgpack_unpack_next(&unpacked, bytes.data(), std::min(bytes.size(), kMessageMost), &used);
-  if (result == MSGPACK_UNPACK_CONTINUE)
-    return bytes.size() >= kMessageMost ? Parsed::unreadable : Parsed::partial;
-  if (result != MSGPACK_UNPACK_SUCCESS) return Parsed::unreadable;
+  if (msgpack_unpack_next(&unpacked, bytes.data(), size, &used) != MSGPACK_UNPACK_SUCCESS)
+    return Parsed::unreadable;
   bytes.remove_prefix(used);
   return read_call(unpacked.data, call);
 }
--- a/tests/mangled_test.cpp
+++ b/tests/mangled_test.cpp
@@ -52,6 +52,21 @@
   EXPECT_GT(whole, 100);
 }
 
+// Guards against lengths and counts that claim what can never come: each ends at its header.
+TEST(Mangled, ClaimsOfMoreThanAMessageEndAtOnce) {
+  using namespace std::string_literals;
+  for (const auto& claim : {"\xc6\x03\x93\x87\x00"s, "\xdb\xff\xff\xff\xff"s, "\xdd\xff\xff\xff\xff"s,
+                            "\xdf\xff\xff\xff\xff"s, "\xc9\x7f\xff\xff\xff"s, "\xc1"s}) {
+    const std::string message =
+        "\x94\x00\x01\xa5"
+        "asset" +
+        claim;
+    std::string_view bytes = message;
+    platform::Call call;
+    EXPECT_EQ(platform::next_call(bytes, call), platform::Parsed::unreadable) << message;
+  }
+}
+
 TEST(Mangled, CachesAnswers) {
   mangle("9b1f served sum=ab,t0=1764576000000,rep=inflight:7;x1:0.5 5\r\nbytes\r\np1 green - 0\r\n\r\n",
          [](std::string_view bytes) {
--- a/tests/process_test.cpp
+++ b/tests/process_test.cpp
@@ -18,7 +18,7 @@
   explicit Program(const std::string& config) {
     char name[] = "/tmp/alderspur-test-XXXXXX";
     folder_ = ::mkdtemp(name);
-    std::ofstream(folder_ + "/config.json") << config;
+    configure(config);
     std::ofstream(folder_ + "/signed.json") << R"({"enabled":false})";
     int ends[2];
     EXPECT_EQ(::pipe(ends), 0);
@@ -40,6 +40,7 @@
     ::close(log_);
     std::filesystem::remove_all(folder_);
   }
+  void configure(const std::string& config) { std::ofstream(folder_ + "/config.json") << config; }
   std::string line() {
     std::string out;
     for (char c; ::read(log_, &c, 1) == 1 && c != '\n';) out += c;
@@ -74,42 +75,78 @@
   }
 }
 
+std::string config_with(const Box& box, const std::string& board = {}) {
+  return R"({"listen":"127.0.0.1:0","board":")" + board +
+         R"(","known":{"rev":1,"notices":[{"rev":1,"pool":{"complete":true,"members":[
+    {"id":"s","host_port":")" +
+         box.address() + R"(","locality":"edge","flavor":"small","phase":"in_service","size":4}]}}]},
+    "settings":{"azs":["edge"],"zone":0,"shapes":["small"],"ceilings":{"max-attempts":2,"may-cancel":true},
+    "classes":[{"name":"asset","target":5000000,"points":1,"repeat":"safe"}]}})";
+}
+// [0, 1, "asset", [{"txn": "ab", "limit": "20000", "item": "7f"}, b""]] by hand
+const std::string kRequest(
+    "\x94\x00\x01\xa5"
+    "asset\x92\x83\xa3txn\xa2"
+    "ab\xa5limit\xa5"
+    "20000\xa4item\xa2"
+    "7f\xc4\x00",
+    40);
+bool until(const std::function<bool()>& holds, Box& box, const std::vector<loopback::Socket*>& watched) {
+  for (int i = 0; i < 20'000 && !holds(); ++i) {
+    box.poll();
+    for (auto* s : watched) s->poll();
+    ::usleep(1000);
+  }
+  return holds();
+}
+
+// Guards against a reload that ends the process, drops what it holds, or leaves it watching a dead board.
+TEST(Process, OnSighupTheWatchMovesToTheNewBoardAndNothingElseIsLost) {
+  Box box;
+  sockaddr_in boards[2];
+  int listeners[2];
+  for (int i = 0; i < 2; ++i) ::listen(listeners[i] = loopback::bound(boards[i]), 4);
+  Program p(config_with(box, net::to_string(boards[0])));
+  loopback::Socket old(::accept(listeners[0], nullptr, nullptr));
+  const auto client = loopback::dial(p.address());
+  client->write(kRequest);
+  ASSERT_TRUE(until([&] { return box.count("fetch") == 1; }, box, {}));
+  // Event 2 arrives, event 3 breaks off half-way; then the old board says nothing and stays open.
+  old.write(R"({"rev":2,"flush":{"collection":1,"ms":1}})"
+            "\n"
+            R"({"rev":3,"flu)");
+  ::usleep(100'000);
+  p.configure("{\"board\":");
+  p.signal(SIGHUP);
+  EXPECT_EQ(p.line().rfind("reload: ", 0), 0u);
+  p.configure(config_with(box, net::to_string(boards[1])));
+  p.signal(SIGHUP);
+  loopback::Socket renewed(::accept(listeners[1], nullptr, nullptr));
+  ASSERT_TRUE(until([&] { return renewed.in == "watch 2\n"; }, box, {&renewed}));
+  ASSERT_TRUE(until([&] { return old.ended; }, box, {&old}));
+  Box::answer(box.commands[0], "served", "bytes");
+  ASSERT_TRUE(until([&] { return client->in.find("bytes") != std::string::npos; }, box, {client.get()}));
+  EXPECT_EQ(box.connections.size(), 1u);
+  p.signal(SIGTERM);
+  EXPECT_EQ(p.exit_code(), 0);
+  for (const int fd : listeners) ::close(fd);
+}
+
 // Guards against losing what is held, or what still comes, at a planned restart.
 TEST(Process, AfterSigtermItGoesOnServingAndFinishesWhatItHolds) {
   Box box;
-  Program p(
-      R"({"listen":"127.0.0.1:0","known":{"rev":1,"notices":[{"rev":1,"pool":{"complete":true,"members":[
-    {"id":"s","host_port":")" +
-      box.address() + R"(","locality":"edge","flavor":"small","phase":"in_service","size":4}]}}]},
-    "settings":{"azs":["edge"],"zone":0,"shapes":["small"],"ceilings":{"max-attempts":2,"may-cancel":true},
-    "classes":[{"name":"asset","target":5000000,"points":1,"repeat":"safe"}]}})");
+  Program p(config_with(box));
   const auto at = p.address();
-  // [0, 1, "asset", [{"txn": "ab", "limit": "20000", "item": "7f"}, b""]] by hand
-  const std::string request(
-      "\x94\x00\x01\xa5"
-      "asset\x92\x83\xa3txn\xa2"
-      "ab\xa5limit\xa5"
-      "20000\xa4item\xa2"
-      "7f\xc4\x00",
-      40);
   const auto held = loopback::dial(at);
-  held->write(request);
-  const auto until = [&](const std::function<bool()>& holds, std::vector<loopback::Socket*> watched) {
-    for (int i = 0; i < 20'000 && !holds(); ++i) {
-      box.poll();
-      for (auto* s : watched) s->poll();
-      ::usleep(1000);
-    }
-    return holds();
-  };
-  ASSERT_TRUE(until([&] { return box.count("fetch") == 1; }, {}));
+  held->write(kRequest);
+  ASSERT_TRUE(until([&] { return box.count("fetch") == 1; }, box, {}));
   p.signal(SIGTERM);
   const auto later = loopback::dial(at);  // clients hear of it later
-  later->write(request);
-  ASSERT_TRUE(until([&] { return box.count("fetch") == 2; }, {}));
+  later->write(kRequest);
+  ASSERT_TRUE(until([&] { return box.count("fetch") == 2; }, box, {}));
   ::usleep(900'000);  // held longer than it lingers
   for (const auto& c : box.commands) Box::answer(c, "served", "bytes");
-  ASSERT_TRUE(until([&] { return held->ended && later->ended; }, {held.get(), later.get()}));
+  ASSERT_TRUE(until([&] { return held->ended && later->ended; }, box, {held.get(), later.get()}));
   EXPECT_NE(held->in.find("bytes"), std::string::npos);
   EXPECT_NE(later->in.find("bytes"), std::string::npos);
   EXPECT_EQ(p.exit_code(), 0);
