Pass on no spoilt answer and let a lost connection put no cache out

A trace of every call and answer showed why: - 'served - 0' under an open id was passed on as an empty object, and a line without its length read as one of length 0 (lines.cpp, next_answer). Kept objects always come with sum and t0, writes with bytes: now required. - A second copy of a failed answer still matched the request's next attempt on that connection; only aborted ids were burnt (caches.cpp, take). Every id that ended without ok is burnt now. - Each spoilt answer resets ten to thirty requests; judge() in choice.cpp took two resets in a row for a sick cache, and three caches were out at once with up to 8 s of backoff. A reset asks a probe now, and the request goes to the same cache once more, outside the retry budget. - After half an answer or none a connection stays open and dead. One with work of ours and nothing read for 0.25 s is asked for a word ('alive'); after 0.3 s without one, or at once behind half an answer, it is lost. The module's probes no longer go on such a connection: they said the machine was silent. - An attempt not yet connected ends before half of the request's time, so that it moves on or is answered. mark_written and cancel no longer walk everything. Ruled out: the machines (their probes came back within 55 ms), the board, errors of the caches (5 in all).

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -248,8 +248,7 @@
   // The object's set first, its least served member ahead; then the rest of the hash order.
   std::vector<Node*> line_for(Object& o, ObjectId id) {
     auto line = ranked(caches_, id);
-    // Danger: the dead of a lost point, asked as a last resort, hold a request past the time to try
-    // elsewhere.
+    // Danger: the dead of a lost point, asked as a last resort, hold a request past all other tries.
     if (set_.may_probe || std::any_of(line.begin(), line.end(), [&](Node* n) { return usable(*n); }))
       std::erase_if(line, [&](Node* n) { return !usable(*n); });
     const std::size_t width = std::min({o.width, cap(), line.size()});
@@ -310,8 +309,7 @@
 
   // ---- Source of fills ----
 
-  // First parent in hash order over all listed ones, the next where it fails or is cold and spent, else
-  // the origin. Null: nobody can be asked now.
+  // First usable parent in hash order over all listed ones, else the origin. Null: nobody can be asked now.
   Node* source_for(const Life& life) {
     const auto bad = [&](const Node& n) {
       return std::find(life.bad_sources.begin(), life.bad_sources.end(), n.at.id) != life.bad_sources.end();
@@ -396,6 +394,8 @@
       n.errors.add(now_, 1);
       const double bad = n.errors.read(now_);
       if (n.on_trial || (bad >= kSoftFails && bad * 2 > n.answers.read(now_))) eject(n);
+    } else if (o.result == Result::reset && awaits_probe(n) && !n.on_trial) {
+      if (!n.probing) check(n);  // a spoilt answer or a lost connection is no sick cache: a probe tells
     } else if (o.result == Result::connect_failed || o.result == Result::reset) {
       hard_failure(n, o.result == Result::connect_failed);
     } else if (o.result == Result::timeout && n.last_answer < a.sent && o.elapsed >= late_after(q)) {
@@ -553,8 +553,7 @@
     return std::any_of(life.attempts.begin(), life.attempts.end(),
                        [&](auto& a) { return a.server == n.at.id; });
   }
-  // One more attempt: at the set, then along the hash order; where the location has nobody, straight to
-  // the parents and the origin if that is allowed.
+  // One more attempt: at the set, along the hash order, or, with nobody here, straight to parents and origin.
   bool attempt(Life& life, const Node* again = nullptr) {
     Object& o = objects_[life.q.object];
     auto line = line_for(o, life.q.object);
@@ -712,8 +711,10 @@
       // Danger: behind every parent stands the same origin; each router's retries help to push it over.
       const bool no_use = o.note == Note::source_lacks || o.result == Result::moot ||
                           (o.note == Note::origin_failed && (life.stale_ok || !cls(life.q).stale_grace));
-      no_use ? give_up(life)
-             : retry(life, unsure ? n : follow_up(life, a, o, n), o.result == Result::cancelled);
+      no_use
+          ? give_up(life)
+          : retry(life, unsure ? n : follow_up(life, a, o, n),
+                  o.result == Result::cancelled || (o.result == Result::reset && life.attempts.size() == 1));
     }
     if (!life.open) finish(life);
   }
@@ -733,7 +734,8 @@
   }
   // Blames the right part: where only the fill failed, the same cache is asked again, from elsewhere.
   const Node* follow_up(Life& life, const Attempt& a, const Outcome& o, const Node* n) {
-    if (!fill_failed(o) || o.note == Note::fills_full) return nullptr;
+    const bool broke_off = o.result == Result::reset && set_.may_probe && life.attempts.size() == 1;
+    if (broke_off || !fill_failed(o) || o.note == Note::fills_full) return broke_off ? n : nullptr;
     if (a.filling && o.note != Note::origin_failed) life.bad_sources.push_back(a.source);
     life.stale_ok = true;
     return n;
--- a/src/core/engine.cpp
+++ b/src/core/engine.cpp
@@ -9,6 +9,8 @@
 constexpr Time kAnswerMargin = 20'000, kMarginPart = 10;  // at most a tenth of the limit
 constexpr Time kAgeSlack = 50'000;                        // on the ages of copies: ways and rounding
 constexpr Time kPurgeMargin = 2'000;
+// A request that nothing of has reached a server must move on or be answered before half of its time is over.
+constexpr Time kUnsentPart = 45;  // per cent
 
 }  // namespace
 
@@ -16,17 +18,18 @@
   Front* front = nullptr;
   std::string id, idempotency_key, held_tag, body, object_text;
   module::Request request;
-  std::uint32_t next_attempt = 0;
+  std::vector<AttemptId> attempts;  // by their numbers
   int out = 0;
   bool open = true;  // a final answer is still owed
-  Time deadline = 0;
+  Time deadline = 0, unsent_until = 0;
+  bool written = false;  // some attempt, whole
 };
 struct Engine::Attempt {
   Ticket ticket = 0;
   module::AttemptNo number;
   Order order;
   Time sent = 0, written = 0;
-  Deadlines::Key timeout{};
+  Deadlines::Key timeout{}, unsent{};
   bool ended = false;  // its one outcome is under way
 };
 
@@ -57,6 +60,7 @@
   const Time margin = std::min(kAnswerMargin, d.limit / kMarginPart);
   h.deadline = now() + std::max<Time>(0, d.limit - margin);
   q.budget = h.deadline - now_;
+  h.unsent_until = now_ + d.limit / 100 * kUnsentPart;
   ++open_;
   held_bytes_ += h.body.size();
   ++counters_.taken;
@@ -75,9 +79,16 @@
   const auto it = attempts_.find(attempt);
   if (it == attempts_.end() || it->second.written) return;
   it->second.written = now();
+  if (it->second.unsent.first) deadlines_.clear(it->second.unsent);
+  if (const auto h = held_.find(it->second.ticket); h != held_.end()) h->second.written = true;
   ++counters_.sent;
 }
 
+bool Engine::was_written(AttemptId attempt) const {
+  const auto it = attempts_.find(attempt);
+  return it != attempts_.end() && it->second.written > 0;
+}
+
 // Exactly one outcome for each attempt: whatever comes after the first is dropped here.
 void Engine::reply(AttemptId attempt, const Reply& reply) {
   const auto it = attempts_.find(attempt);
@@ -87,6 +98,7 @@
   }
   it->second.ended = true;
   deadlines_.clear(it->second.timeout);
+  if (it->second.unsent.first) deadlines_.clear(it->second.unsent);
   waiting_.push_back({module::Outcome{}, it->second.ticket, attempt, reply});
 }
 
@@ -216,7 +228,8 @@
   const AttemptId id = ++last_attempt_;
   Attempt& a = attempts_[id];
   a.ticket = it->first;
-  a.number = {held.next_attempt++};
+  a.number = {static_cast<std::uint32_t>(held.attempts.size())};
+  held.attempts.push_back(id);
   a.sent = now_;
   a.order = {held.id,          held.idempotency_key,   held.held_tag,     held.body,
              held.object_text, held.request.cls.value, held.request.part, s.server,
@@ -225,12 +238,15 @@
   // Danger: the client may have left in this very batch, after the module decided to send.
   if (!held.open) return reply(id, {module::Result::moot, false, {}, {}, 0, {}});
   a.timeout = deadlines_.set(a.order.deadline, [this, id] { give_up(id, module::Result::timeout); });
+  if (!held.written && now_ < held.unsent_until)
+    a.unsent = deadlines_.set(held.unsent_until, [this, id] { give_up(id, module::Result::connect_failed); });
   backend_->send(id, s.server);
 }
 
 void Engine::cancel(const module::Cancel& c) {
-  for (const auto& [id, a] : attempts_)
-    if (a.ticket == c.id.value && a.number == c.attempt) return give_up(id, module::Result::cancelled);
+  const auto it = held_.find(c.id.value);
+  if (it != held_.end() && c.attempt.value < it->second.attempts.size())
+    give_up(it->second.attempts[c.attempt.value], module::Result::cancelled);
 }
 
 void Engine::give_up(AttemptId attempt, module::Result result) {
--- a/src/core/engine.h
+++ b/src/core/engine.h
@@ -84,6 +84,7 @@
   // From the backend.
   const Order* order(AttemptId attempt) const;  // null: over already, do not send
   void written(AttemptId attempt);              // whole
+  bool was_written(AttemptId attempt) const;
   void reply(AttemptId attempt, const Reply& reply);
   void probed(module::ServerId server, bool ok, Time elapsed, const module::Report& report);
   // From the board.
--- a/src/net/connection.h
+++ b/src/net/connection.h
@@ -61,6 +61,7 @@
   bool closed() const { return closed_; }
   bool input_ended() const { return input_ended_; }
   std::size_t unwritten() const { return queue_.size() - queue_at_; }
+  std::size_t unread() const { return in_size_ - consumed_; }  // of a message not whole yet
   std::uint64_t queued_total() const { return queued_total_; }
   std::uint64_t written_total() const { return queued_total_ - unwritten(); }
   core::Time last_read = 0;
--- a/src/platform/caches.cpp
+++ b/src/platform/caches.cpp
@@ -1,6 +1,7 @@
 #include "platform/caches.h"
 
 #include <algorithm>
+#include <deque>
 
 #include "platform/lines.h"
 
@@ -14,14 +15,15 @@
 constexpr core::Time kProbeTime = 250'000, kSweep = 1'000'000;
 constexpr core::Time kSilence = 300'000;  // not a byte for so long while an attempt waited: perhaps dead
 constexpr std::size_t kBurntMost = 512;
+// A connection with work of ours on which nothing came for kQuiet is asked for a word; without one it is
+// lost.
+constexpr core::Time kWatch = 50'000, kQuiet = 250'000, kWord = 300'000;
 
 }  // namespace
 
 struct Caches::Open {
   AttemptId attempt = 0;  // 0: a probe
   core::Time sent = 0;
-  std::uint64_t end = 0;  // of the command, in the connection's count of bytes queued
-  bool written = false;
   core::Deadlines::Key timeout{};
 };
 struct Caches::Link {
@@ -30,7 +32,11 @@
   std::unordered_map<std::string, Open> open;
   std::vector<AttemptId> waiting;  // for the connection to come up
   std::vector<std::string> probes;
-  // Danger: a late answer to an attempt given up would pass for that of the same request's next one.
+  std::deque<std::pair<std::uint64_t, AttemptId>> unwritten;  // commands, by where they end in the queue
+  std::string check;                                          // the tag under which it was asked for a word
+  core::Time checked = 0;
+  // Danger: a late answer to an attempt given up, or the second copy of one that failed, would pass for that
+  // of the same request's next attempt.
   std::unordered_set<std::string> burnt;
   core::Deadlines::Key dial{};
   bool retired = false, dead = false;
@@ -51,6 +57,7 @@
       config_(config),
       link_limit_(static_cast<std::size_t>(config.sockets) * 2 / 5) {
   sweep();
+  watch_links();
 }
 Caches::~Caches() = default;
 
@@ -85,7 +92,7 @@
   const std::string key(id);
   for (auto& link : server.links) {
     if (link->dead || link->retired || link->load() >= config_.streams) continue;
-    if (link->burnt.contains(key) || link->open.contains(key)) continue;
+    if (link->burnt.contains(key) || link->open.contains(key) || link->checked) continue;
     const auto rank = [](const Link& l) { return std::pair(l.connection->connecting(), l.load()); };
     if (!best || rank(*link) < rank(*best)) best = link.get();
   }
@@ -137,7 +144,7 @@
   open.attempt = attempt;
   open.sent = link.used = engine_.now();
   link.connection->write(line, order->body, "\r\n");
-  open.end = link.connection->queued_total();
+  link.unwritten.emplace_back(link.connection->queued_total(), attempt);
   mark_written(link);
 }
 
@@ -156,11 +163,20 @@
 
 void Caches::mark_written(Link& link) {
   const auto total = link.connection->written_total();
-  for (auto& [id, open] : link.open) {
-    if (open.written || open.end > total || !open.attempt) continue;
-    open.written = true;
-    engine_.written(open.attempt);
-  }
+  for (; !link.unwritten.empty() && link.unwritten.front().first <= total; link.unwritten.pop_front())
+    engine_.written(link.unwritten.front().second);
+}
+
+// Danger: a spoilt line can read well. What is passed on must be what this request asked for: kept objects
+// come with their tag and date, writes with bytes, and a copy is confirmed only to whoever named it.
+bool Caches::plausible(const LineAnswer& answer, AttemptId attempt) const {
+  const core::Order* order = engine_.order(attempt);
+  if (!order) return true;  // over already, nothing is passed on
+  if (answer.word == "still_good")
+    return answer.body.empty() && !order->held_tag.empty() && answer.sum == order->held_tag;
+  if (answer.word != "served") return true;
+  if (config_.settings.classes[order->cls].uncached) return !answer.body.empty();
+  return !answer.sum.empty() && answer.born > 0;
 }
 
 std::ptrdiff_t Caches::take(Link& link, std::string_view bytes) {
@@ -173,6 +189,10 @@
       ++engine_.counters().bad_answers;
       return -1;
     }
+    if (!link.check.empty() && answer.id == link.check) {
+      link.check.clear();
+      continue;
+    }
     const auto it = link.open.find(std::string(answer.id));
     if (it == link.open.end()) {
       ++engine_.counters().late_answers;
@@ -185,15 +205,17 @@
     const AttemptId attempt = it->second.attempt;
     const auto result = result_of(answer.word);
     // A word of another answer, or an answer to what was not asked whole: nothing here can be trusted.
-    if (!result || !it->second.written) {
+    if (!result || !engine_.was_written(attempt) || !plausible(answer, attempt)) {
       ++engine_.counters().bad_answers;
       return -1;
     }
+    if (*result != Result::ok) link.burnt.insert(it->first);
     link.open.erase(it);
     where_.erase(attempt);
     link.used = engine_.now();
     engine_.reply(attempt, {*result, answer.word == "still_good", answer.body, answer.sum, answer.born,
                             report_of(answer.report)});
+    if (link.burnt.size() > kBurntMost) link.retired = true;
     if (link.retired && link.load() == 0) {
       drop(link);
       return static_cast<std::ptrdiff_t>(before - bytes.size());
@@ -216,7 +238,8 @@
       continue;
     }
     where_.erase(o.attempt);
-    engine_.reply(o.attempt, {o.written ? Result::reset : Result::connect_failed, false, {}, {}, 0, {}});
+    const bool may_have_run = engine_.was_written(o.attempt);
+    engine_.reply(o.attempt, {may_have_run ? Result::reset : Result::connect_failed, false, {}, {}, 0, {}});
   }
   for (const AttemptId attempt : waiting) {
     where_.erase(attempt);
@@ -243,9 +266,9 @@
   Link& link = *it->second;
   where_.erase(it);
   if (std::erase(link.waiting, attempt)) return;
-  const auto found =
-      std::find_if(link.open.begin(), link.open.end(), [&](auto& o) { return o.second.attempt == attempt; });
-  if (found == link.open.end()) return;
+  const core::Order* order = engine_.order(attempt);
+  const auto found = order ? link.open.find(std::string(order->id)) : link.open.end();
+  if (found == link.open.end() || found->second.attempt != attempt) return;
   const std::string id = found->first;
   const Open open = found->second;
   link.open.erase(found);
@@ -259,11 +282,19 @@
   if (silent || link.burnt.size() > kBurntMost) retire(link);
 }
 
+// Danger: on a connection that a spoilt answer has silenced, a probe would say that the machine is silent.
 void Caches::probe(al::ServerId id) {
   const auto it = servers_.find(id);
   std::string tag("p");
   tag += std::to_string(++last_probe_);
-  Link* link = it == servers_.end() ? nullptr : pick(*it->second, tag);
+  Link* link = nullptr;
+  if (it != servers_.end()) {
+    for (auto& l : it->second->links) {
+      const bool heard = l->open.empty() || l->connection->last_read > engine_.now() - kQuiet;
+      if (!l->dead && !l->retired && !l->checked && !l->connection->connecting() && heard) link = l.get();
+    }
+    if (!link) link = dial(*it->second);
+  }
   if (!link) return engine_.probed(id, false, 0, {});
   Open& open = link->open[tag];
   open.sent = link->used = engine_.now();
@@ -299,6 +330,36 @@
       if (!link->dead && link->load() == 0 && now > link->used + config_.idle_close * 4 / 5) drop(*link);
 }
 
+void Caches::watch_links() {
+  deadlines_.set(engine_.now() + kWatch, [this] { watch_links(); });
+  for (auto& [id, s] : servers_)
+    for (auto& link : s->links)
+      if (!link->dead && !link->connection->connecting()) watch(*link);
+}
+
+// Danger: after an answer that stops short or never comes, a connection stays open and is of no further use,
+// also for the other requests on it; the machine behind it is well.
+void Caches::watch(Link& link) {
+  const core::Time now = engine_.now();
+  if (link.checked && (link.check.empty() || link.connection->last_read >= link.checked)) link.checked = 0;
+  core::Time oldest = now;
+  for (const auto& [id, o] : link.open)
+    if (o.attempt) oldest = std::min(oldest, o.sent);
+  const core::Time quiet = now - std::max(oldest, link.connection->last_read);
+  if (quiet <= kQuiet) return;
+  // Nothing can be asked behind half an answer.
+  if (link.connection->unread() > 0 || (link.checked && now > link.checked + kWord)) {
+    ++engine_.counters().silent_links;
+    return lost(link, net::Closed::unreadable);
+  }
+  if (link.checked || !config_.settings.may_probe) return;
+  link.checked = now;
+  link.check = "w";
+  link.check += std::to_string(++last_probe_);
+  ++engine_.counters().probes;
+  link.connection->write("alive " + link.check + "\r\n");
+}
+
 void Caches::end_turn() {
   for (auto& [id, s] : servers_) {
     for (auto& link : s->links)
--- a/src/platform/caches.h
+++ b/src/platform/caches.h
@@ -14,6 +14,8 @@
 
 namespace platform {
 
+struct LineAnswer;
+
 class Caches : public core::Backend {
  public:
   Caches(net::Loop& loop, core::Deadlines& deadlines, core::Engine& engine, const config::Config& config);
@@ -47,7 +49,9 @@
   void lost(Link& link, net::Closed why);
   void drop(Link& link);
   void retire(Link& link);
-  void bury(Link& link);
+  bool plausible(const LineAnswer& answer, core::AttemptId attempt) const;
+  void watch_links();
+  void watch(Link& link);
   void end_probe(Link& link, const std::string& tag, bool ok, std::string_view report);
   void sweep();
 
@@ -57,7 +61,6 @@
   const config::Config& config_;
   std::map<alderspur::ServerId, std::unique_ptr<Server>> servers_;
   std::unordered_map<core::AttemptId, Link*> where_;
-  std::vector<std::unique_ptr<Link>> graves_;  // until the turn ends: callbacks and slices still refer there
   std::size_t link_count_ = 0, link_limit_;
   std::uint64_t last_probe_ = 0;
 };
--- a/src/platform/lines.cpp
+++ b/src/platform/lines.cpp
@@ -57,7 +57,8 @@
   std::string_view fields = cut(line, ' ');
   std::size_t length = 0;
   if (answer.id.empty() || answer.word.empty()) return Parsed::unreadable;
-  if (!line.empty() && (!core::parse_number(line, length) || length > kBodyMost)) return Parsed::unreadable;
+  // Without its length a line says nothing of where the answer ends.
+  if (fields.empty() || !core::parse_number(line, length) || length > kBodyMost) return Parsed::unreadable;
   if (fields == "-") fields = {};
   while (!fields.empty()) {
     std::string_view value = cut(fields, ',');
--- a/tests/loopback.h
+++ b/tests/loopback.h
@@ -77,6 +77,10 @@
   Socket* from = nullptr;
 };
 
+inline std::string dated(const std::string& tag) {  // the fields of a copy given out now
+  return "sum=" + tag + ",t0=" + std::to_string(net::unix_now() / 1000);
+}
+
 class Box {  // a stand-in cache: collects commands; the story answers them
  public:
   Box() : fd_(bound(at_)) {
@@ -98,7 +102,8 @@
     }
   }
   static void answer(const Command& c, const std::string& word, const std::string& body = {},
-                     const std::string& fields = "-") {
+                     std::string fields = {}) {
+    if (fields.empty()) fields = word == "served" ? dated("t") : "-";
     c.from->write(c.id + ' ' + word + ' ' + fields + ' ' + std::to_string(body.size()) + "\r\n" + body +
                   "\r\n");
   }
@@ -166,6 +171,7 @@
       "members":[)" + member("s-a", box[0], "edge", "small") +
                      "," + member("s-b", box[1], "edge", "small") + "," +
                      member("s-o", origin, "hub", "origin") + "]}}]}," + kSettings + "}");
+    config.settings.may_probe = probing;
     config.board = net::to_string(board_at_);
     links.enabled = true;
     links.listen = "127.0.0.1:0";
@@ -227,6 +233,7 @@
   std::size_t fetches() const { return box[0].count("fetch") + box[1].count("fetch"); }
 
   sockaddr_in board_at_{};
+  bool probing = false;
   std::int64_t skew = 0, link_limit = 20'000'000;
   Box box[2], origin;
   config::Config config;
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -104,12 +104,12 @@
   for (const auto& [k, v] : want) EXPECT_EQ(got.fields.at(k), v) << k;
   EXPECT_LT(std::stoi(got.fields.at("ttl")), 20000);
   const std::string body(240'000, 'x');
-  Box::answer(got, "served", body, "sum=t,t0=1764576000000");
+  Box::answer(got, "served", body);
   ASSERT_TRUE(until([&] { return answers(c->in).size() == 1; }));
   EXPECT_EQ(answers(c->in)[0].body, body);
   c->write(request(2, "asset", {{"seen", "ab"}}));
   ASSERT_TRUE(until([&] { return fetches() == 2; }));
-  Box::answer(got.id == fetch(2)->id ? *fetch(1) : *fetch(2), "still_good");
+  Box::answer(got.id == fetch(2)->id ? *fetch(1) : *fetch(2), "still_good", {}, loopback::dated("ab"));
   ASSERT_TRUE(until([&] { return answers(c->in).size() == 2; }));
   EXPECT_EQ(answers(c->in)[1].fields["current"], "1");
 }
@@ -167,17 +167,88 @@
   EXPECT_EQ(fetches(), 0u);
 }
 
-TEST_F(Platform, AnUnreadableAnswerFailsTheAttemptAndClosesTheConnection) {
+// Guards against passing on what is spoilt: lines without a length, without tag and date, with lengths that
+// don't fit, confirmations of a copy that the client never named.
+TEST_F(Platform, ASpoiltAnswerFailsTheAttemptAndClosesTheConnection) {
+  auto c = client(front->address());
+  std::size_t asked = 0;
+  unsigned id = 0;
+  for (const std::string spoilt :
+       {"served - twelve\r\n", "served - 0\r\n", "served sum=t,t0=1764576000000\r\n",
+        "still_good sum=t,t0=1 0\r\n", "served sum=t,t0=1 3000000000\r\n", "served sum=t,t0=1 3\r\nbytes\r\n",
+        "good\r\n"}) {
+    c->write(request(++id, "asset", {}));
+    ASSERT_TRUE(until([&] { return fetches() == asked + 1; }));
+    const auto last = [&] {
+      return box[0].commands.empty() ? box[1].commands.back() : box[0].commands.back();
+    };
+    const Command got = last();
+    got.from->write(got.id + ' ' + spoilt);
+    ASSERT_TRUE(until([&] { return got.from->poll(), got.from->ended; })) << spoilt;
+    ASSERT_TRUE(until([&] { return fetches() == asked + 2 || answers(c->in).size() == id; }));
+    for (auto& b : box)
+      for (auto& cmd : b.commands)
+        if (cmd.id == got.id && !cmd.from->ended) Box::answer(cmd, "served", "good");
+    ASSERT_TRUE(until([&] { return answers(c->in).size() == id; })) << spoilt;
+    EXPECT_NE(answers(c->in).back().body, "bytes");
+    for (auto& b : box) b.commands.clear();
+    asked = 0;
+  }
+}
+
+// Guards against the second copy of a failed answer passing for the answer to the request's next attempt.
+TEST_F(Platform, ASecondCopyOfAFailedAnswerEndsNothing) {
+  alderspur::FleetUpdate gone;
+  gone.servers = {config.notices[0].members[1].server};
+  gone.servers[0].status = alderspur::Status::gone;
+  engine->fleet(gone);
   auto c = client(front->address());
   c->write(request(1, "asset", {}));
   ASSERT_TRUE(until([&] { return fetches() == 1; }));
-  const Command got = *fetch();
-  got.from->write(got.id + " served - twelve\r\n");
-  ASSERT_TRUE(until([&] { return got.from->poll(), got.from->ended; }));
+  Box::answer(*fetch(), "overload");
   ASSERT_TRUE(until([&] { return fetches() == 2; }));
-  Box::answer(*fetch(fetch(1)->from == got.from ? 2 : 1), "served", "good");
+  Box::answer(*fetch(), "served", "the second copy");
+  settle();
+  EXPECT_TRUE(answers(c->in).empty());
+  Box::answer(*fetch(2), "served", "its own");
   ASSERT_TRUE(until([&] { return answers(c->in).size() == 1; }));
-  EXPECT_EQ(answers(c->in)[0].body, "good");
+  EXPECT_EQ(answers(c->in)[0].body, "its own");
+}
+
+class Watched : public Platform {
+ protected:
+  Watched() { probing = true; }
+  // Until it holds, the boxes answer probes on all connections but that one.
+  bool until_but(const loopback::Socket* silent, const std::function<bool()>& holds) {
+    return until([&] {
+      for (auto* b : {&box[0], &box[1], &origin})
+        for (auto& cmd : b->commands)
+          if ((cmd.word == "alive" || cmd.word == "stats") && cmd.from != silent)
+            Box::answer(cmd, "green"), cmd.word = "answered";
+      return holds();
+    });
+  }
+};
+
+// Guards against connections that stay open and are of no further use: after half an answer, or after none.
+TEST_F(Watched, ASilentConnectionCostsItsRequestsAnAttemptButNotTheBoxItsGoodName) {
+  for (const bool half : {true, false}) {
+    for (auto& b : box) b.commands.clear();
+    auto c = client(front->address());
+    for (unsigned i = 1; i <= 2; ++i) c->write(request(i, "asset", {{"ram", "90"}}));
+    ASSERT_TRUE(until_but(nullptr, [&] { return fetches() == 2; }));
+    const Command first = *fetch(1), second = *fetch(2);
+    ASSERT_EQ(first.from, second.from);
+    if (half) first.from->write(first.id + " served " + loopback::dated("t") + " 100\r\nhalf of it");
+    ASSERT_TRUE(until_but(first.from, [&] { return fetches() == 4; }));
+    for (std::size_t i = 3; i <= 4; ++i) {
+      EXPECT_EQ(&box_of(*fetch(i)), &box_of(first));
+      Box::answer(*fetch(i), "served", "again");
+    }
+    ASSERT_TRUE(until_but(first.from, [&] { return answers(c->in).size() == 2; }));
+    watched.clear();
+  }
+  EXPECT_EQ(engine->counters().silent_links, 2u);
 }
 
 TEST_F(Platform, AHalfClosedClientStillGetsItsAnswer) {
@@ -239,7 +310,7 @@
   ASSERT_TRUE(until([&] { return fetches() == 24; }));
   for (std::size_t i = 1; i <= 24; ++i) {
     const Command c = *fetch(i);
-    const std::string head = c.id + " served - 240000\r\n";
+    const std::string head = c.id + " served " + loopback::dated("t") + " 240000\r\n";
     // The stand-in box waits for room; the router reads it meanwhile.
     std::string all = head + body + "\r\n";
     ASSERT_TRUE(until([&] {
@@ -258,7 +329,10 @@
 }
 
 // Guards against a connect that never comes up: nothing ran, so the next box is asked in time.
-TEST_F(Platform, AConnectThatHangsIsGivenUpAndTheRequestMovesOn) {
+class HungConnect : public Platform,
+                    public ::testing::WithParamInterface<std::pair<core::Time, const char*>> {};
+TEST_P(HungConnect, IsGivenUpAndTheRequestMovesOn) {
+  const auto [dial_timeout, limit] = GetParam();
   sockaddr_in at{};
   const int full = loopback::bound(at);
   ::listen(full, 0);
@@ -267,13 +341,14 @@
     fillers.push_back(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0));
     (void)::connect(fillers.back(), reinterpret_cast<const sockaddr*>(&at), sizeof at);
   }
-  config.dial_timeout = 300'000;
+  config.dial_timeout = dial_timeout;
   auto member = config.notices[0].members[0];
   member.address = net::to_string(at);
   caches->update(member);
   auto c = client(front->address());
   for (unsigned i = 1; i <= 6; ++i)
-    c->write(request(i, "plan-accept", {{"item", "000000000000000" + std::to_string(i)}, {"unique", "k"}}));
+    c->write(request(i, "plan-accept",
+                     {{"item", "000000000000000" + std::to_string(i)}, {"unique", "k"}, {"limit", limit}}));
   std::size_t answered = 0;
   ASSERT_TRUE(until([&] {
     for (; answered < box[1].commands.size(); ++answered)
@@ -287,6 +362,11 @@
   ::close(full);
 }
 
+// By its own time limit, and, where that is too long, before half of the request's time is over.
+INSTANTIATE_TEST_SUITE_P(Limits, HungConnect,
+                         ::testing::Values(std::pair(core::Time{300'000}, "20000"),
+                                           std::pair(core::Time{60'000'000}, "8000")));
+
 // The core alone: a backend and a front that only write down what they are told.
 struct Recorder : core::Backend, core::Front {
   void send(core::AttemptId a, alderspur::ServerId) override { sent.push_back(a); }
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -677,6 +677,33 @@
   ASSERT_EQ(bed.sends[id].size(), 2u);
   EXPECT_NE(bed.sends[id][1].server, silent);
 }
+// Guards against taking lost connections, as spoilt answers cause them, for a sick cache: all of a point's
+// caches would be out. The request they cost goes to the same cache once more.
+TEST(Health, ALostConnectionIsAskedAboutAndPutsNoCacheOutByItself) {
+  auto s = site();
+  s.may_duplicate = false;
+  s.may_probe = true;
+  Bed bed(s);
+  ServerId home{};
+  for (int i = 0; i < 6; ++i) {
+    const auto id = bed.ask(1);
+    ASSERT_EQ(bed.sends[id].size(), 1u);
+    if (i > 0) {
+      EXPECT_EQ(bed.sends[id][0].server, home);
+    }
+    home = bed.sends[id][0].server;
+    bed.end(id, Result::reset);
+    EXPECT_GE(bed.probes[home], i + 1);
+    ASSERT_EQ(bed.sends[id].size(), 2u);
+    EXPECT_EQ(bed.sends[id][1].server, home);
+    bed.tell(Probed{home, true, ms, {}});
+    bed.end(id, Result::ok, Note::none, 1);
+  }
+  const auto id = bed.ask(1);
+  bed.end(id, Result::reset);
+  bed.tell(Probed{home, false, 250 * ms, {}});
+  EXPECT_NE(bed.sends[bed.ask(1)][0].server, home);
+}
 TEST(Health, ASilentParentIsFoundByProbesAndIsNobodysSource) {
   auto s = site();
   s.may_probe = true;
--- a/tests/signed_test.cpp
+++ b/tests/signed_test.cpp
@@ -37,7 +37,7 @@
     c->write(request);
     EXPECT_TRUE(until([&] {
       if (fetches() > before && !played_)
-        Box::answer(*fetch(before + 1), "served", body, "sum=t1"), played_ = true;
+        Box::answer(*fetch(before + 1), "served", body, loopback::dated("t1")), played_ = true;
       return c->in.find("\r\n\r\n") != std::string::npos;
     }));
     played_ = false;
