Put out whoever stands out by its errors, at either end of a fill

Cause: unclear() in choice.cpp takes each first error for the source's, so it was counted as an answer and not as an error; the second try at the same cache succeeds often enough, and judge() saw errors in a fifth of the answers, under its half. The retry budget (0.15 a request) then dried up. Parents that fail half are hidden the same way. Now every error counts at both ends, and whoever's part stands out among its peers (a quarter at least, twice the peers') is out: sick(). One lost connection counts as one error, however many requests it carried, so that a cache that resets again and again is out and spoilt answers, which come from any cache, put none out. Ruled out: the restart itself (three routers, all ready within 0.2 s but for one chance start of 3.1 s), admission.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -1,10 +1,10 @@
-// The decision module. Its interface, with units and ordering, is include/alderspur/router.h.
-// docs/design.md tells what follows the published design and what departs.
+// The decision module: interface in include/alderspur/router.h, departures from the design in docs/design.md.
 #include <algorithm>
 #include <cmath>
 #include <limits>
 #include <map>
 #include <unordered_map>
+#include <utility>
 
 #include "alderspur/router.h"
 #include "state.h"
@@ -14,7 +14,6 @@
 
 // ---- Constants: every tuned value, with unit and reason ----
 
-// Hot sets.
 constexpr double kBaseThresh = 0.25;   // share of a cache's load at which an object is hot, W = 1
 constexpr double kLeastCount = 6;      // requests of one object in a window; fewer say nothing
 constexpr Time kWidenPause = kSecond;  // between two widenings of one set: counts must follow
@@ -23,27 +22,26 @@
 constexpr double kHugeFactor = 8;      // times the class's mean size: kept at the lowest rank at most
 // A crowded home: its work out over the location's mean, and sending seconds that are never too many.
 constexpr double kSeen = 0.4;   // attempts out for each cache and sharer: fewer say nothing of a crowd
-constexpr double kSharers = 2;  // routers of a location for whose view these values were set
+constexpr double kSharers = 2;  // routers of a location for whose view these values were set: others see thin
 constexpr double kCrowded = 1.5, kCrowdedLeast = 1;
 constexpr double kHeldLeast = 4, kReportLearn = 0.2;  // requests held, never too many; weight of a report
 constexpr Time kReportOld = 4 * kSecond;              // reports older than this say nothing
-// Time-outs, in units of an attempt's usual time.
 constexpr int kCalm = 2;               // attempts out, at most, where a hit's time tells its sending time
 constexpr double kHedgeDevs = 3;       // deviations above the mean: worth a second copy
 constexpr double kHedgeFrom = 0.4;     // of the aim: nothing is late earlier
 constexpr Time kLeastTime = 30 * kMs;  // less than this left: no attempt can finish
-// Budgets, in attempts a request, and how many can be saved up.
+// Attempts a request, and how many can be saved up.
 constexpr double kRetryPart = 0.15, kRetrySaved = 6, kHedgePart = 0.06, kHedgeSaved = 6;
-// Admission: the sending seconds out at the location's caches stay under a limit that moves with the time
-// attempts take over their aim: by kLimitStep of the distance from kCrowdAim with each answer.
+// Admission: a limit on sending seconds out, moved by kLimitStep of the distance from kCrowdAim by each
+// answer.
 constexpr double kCrowdAim = 0.3, kCrowdMost = 2, kLimitStep = 0.03;
 constexpr double kLimitLeast = 0.5;  // seconds for a cache
 constexpr double kCheapRoom = 2;     // over the limit, for requests that cost little for their worth
 constexpr double kFetchAim = 0.5, kFetchLeast = 1.5;  // the same for work that may wait for the origin
 constexpr double kPressLearn = 0.05;                  // weight of one request in the part refused lately
-// Health.
 constexpr int kHardFails = 2;                         // refused, reset or silent in a row: out
-constexpr double kSoftFails = 3;                      // errors in a window, and half of all answers: out
+// Errors in a window, their part of all answers, over the peers' part or alone: who stands out is out.
+constexpr double kSoftFails = 3, kSoftPart = 0.25, kSoftOver = 2, kSoftAlone = 0.5;
 constexpr Time kParentLook = 500 * kMs;               // parents' silence shows nowhere else: probed so often
 constexpr Time kLook = 100 * kMs, kMute = 300 * kMs;  // a server with work of ours, silent so long, is probed
 constexpr Time kOwnWord = 3 * kMs;  // turned away sooner: by the cache itself, no source was asked
@@ -58,7 +56,6 @@
 constexpr double kUnknownTransfers = 1;  // capacity assumed before anything was observed
 // Purges: a fill begun before may land after caches have settled; the margin covers clocks and ways.
 constexpr Time kPurgeExtra = 4 * kSecond, kPurgeMargin = 2 * kMs;
-// Upkeep.
 constexpr Time kSweep = kSecond, kIdleObject = 30 * kSecond, kAskPause = kSecond;
 constexpr Time kRetryAfter = 400 * kMs;  // advice: from once to twice this,
 constexpr double kPressed = 8;           // and so many times more as more is refused
@@ -178,8 +175,7 @@
 
   bool sized() const { return set_.weights == WeightKind::nominal || set_.weights == WeightKind::rough; }
   double weight(const Node& n) const { return sized() ? n.at.weight : 1; }
-  // Sending time, seconds, at the top pace; from the class's hits where sizes are not told.
-  double sending(const Request& q) {
+  double sending(const Request& q) {  // seconds, at the top pace where sizes are told
     if (known(q.size_kb) > 0 && set_.stream_kb_per_s > 0) return q.size_kb / set_.stream_kb_per_s;
     return class_sending(q.cls);
   }
@@ -197,8 +193,7 @@
   }
   double usual(const Request& q) { return static_cast<double>(cls(q).target) + sending(q) * kSecond; }
 
-  // Load of each of our caches over its size. An unheard cache counts as average, and so does one whose
-  // health is in doubt: failing fast it would read as the lightest and pull every threshold down.
+  // Load of our caches over their sizes. Unheard ones and those in doubt, which read light, count as average.
   std::vector<double> loads() {
     std::vector<double> v;
     double sum = 0, heard = 0;
@@ -245,7 +240,6 @@
   }
   std::size_t cap() const { return std::min(caches_.size(), std::max<std::size_t>(2, caches_.size() / 2)); }
 
-  // The object's set first, its least served member ahead; then the rest of the hash order.
   std::vector<Node*> line_for(Object& o, ObjectId id) {
     auto line = ranked(caches_, id);
     // Danger: the dead of a lost point, asked as a last resort, hold a request past all other tries.
@@ -262,10 +256,10 @@
                      [&](Node* a, Node* b) { return filled(a) < filled(b); });
     return uncrowded(line, id);
   }
-  // Danger: a home that more work reaches than it can send slows, is retried elsewhere too late, and stays
-  // crowded. While much more of our work is out there than at its peers, the next in hash order goes first.
-  // Where we see too little of it, the caches' reports tell of all routers' work; then a part of the objects,
-  // the same at every router, moves on, so that their copies meet and no herd goes to and fro.
+  // Danger: a home with more work than it can send slows and stays crowded. While much more of ours is out
+  // there than at its peers, the next in hash order goes first. Where we see too little, the caches' reports
+  // tell; then a part of the objects, the same at every router, moves on: copies meet and no herd goes to and
+  // fro.
   std::vector<Node*> uncrowded(std::vector<Node*> line, ObjectId object) const {
     double work = 0, size = 0, out = 0, held = 0, heard = 0;
     for (auto* n : line) {
@@ -340,10 +334,14 @@
     if (a.charged && s->cold && (o.note == Note::hit || o.note == Note::joined))
       s->tokens += class_sending(q.cls);
     if (s->at.role != Role::parent) return;
+    if (!noted_ && a.fetching && (o.result == Result::ok || o.result == Result::error)) {
+      s->answers.add(now_, 1), s->errors.add(now_, o.result == Result::error ? 1 : 0);
+      if (o.result == Result::error && !s->on_trial && sick(*s)) eject(*s);
+    }
     if (gave || (!noted_ && a.fetching && o.result == Result::ok))
       s->streak = s->ejections = 0, s->on_trial = false;
-    // Danger: one of many routers never meets a dead parent three times in a row, and all of them reach it at
-    // once when it starts. There one refused connection puts it out, and it returns as a cold one would.
+    // Danger: many routers reach a parent that starts at once. One refused connection there puts it out, as
+    // cold.
     const bool unreached = o.note == Note::source_unreachable && o.result == Result::full;
     if (broke) s->streak += unreached ? static_cast<int>(thin()) : 1;
     if (!broke || s->streak < kSourceFails) return;
@@ -374,14 +372,23 @@
     n.was_silent |= silent;
     eject(n);
   }
+  bool sick(Node& n) {
+    const double bad = n.errors.read(now_), all = n.answers.read(now_);
+    if (bad < kSoftFails || bad < kSoftPart * all) return false;
+    double peers_bad = 0, peers_all = 0;
+    for (auto* p : n.at.role == Role::parent ? parents_ : caches_)
+      if (p != &n) peers_bad += p->errors.read(now_), peers_all += p->answers.read(now_);
+    return peers_all < kSoftFails ? bad > kSoftAlone * all : bad * peers_all > kSoftOver * peers_bad * all;
+  }
   // Danger: a cache that went silent and is back has restarted unseen, so it is cold and empty.
   void answered(Node& n) {
     if (n.was_silent && n.at.role != Role::origin) chill(n, now_, false);
     n.was_silent = n.on_trial = false;
     n.streak = n.ejections = 0;
   }
-  // The note tells a failed fill from a sick or crowded cache, whatever the outcome's kind.
-  static bool fill_failed(const Outcome& o) { return o.note >= Note::source_refused; }
+  static bool fill_failed(const Outcome& o) {
+    return o.note >= Note::source_refused;
+  }  // not the cache itself
   void judge(Node& n, const Request& q, const Attempt& a, const Outcome& o) {
     const bool silent = o.result == Result::timeout || o.result == Result::connect_failed ||
                         o.result == Result::cancelled || o.result == Result::moot ||
@@ -392,10 +399,12 @@
     if (o.result == Result::ok || o.result == Result::miss || fill_failed(o)) return answered(n);
     if (o.result == Result::error) {
       n.errors.add(now_, 1);
-      const double bad = n.errors.read(now_);
-      if (n.on_trial || (bad >= kSoftFails && bad * 2 > n.answers.read(now_))) eject(n);
+      if (n.on_trial || sick(n)) eject(n);
     } else if (o.result == Result::reset && awaits_probe(n) && !n.on_trial) {
       if (!n.probing) check(n);  // a spoilt answer or a lost connection is no sick cache: a probe tells
+      if (std::exchange(n.reset_at, now_) == now_) return;  // one connection's end, however many it carried
+      n.answers.add(now_, 1), n.errors.add(now_, 1);
+      if (sick(n)) eject(n);
     } else if (o.result == Result::connect_failed || o.result == Result::reset) {
       hard_failure(n, o.result == Result::connect_failed);
     } else if (o.result == Result::timeout && n.last_answer < a.sent && o.elapsed >= late_after(q)) {
@@ -412,8 +421,8 @@
     const double grown = static_cast<double>(now_ - n.cold_since) / static_cast<double>(span);
     return from + (1 - from) * std::clamp(grown, 0.0, 1.0);
   }
-  // Transfers at a time that this router may ask of a cold server now: its part of a capacity that rises
-  // evenly from the least the settings promise, estimated low.
+  // Transfers at a time that this router may ask of a cold server now: its part of the least that is
+  // promised.
   double allowance(const Node& n) {
     const bool parent = n.at.role == Role::parent;
     const double share = cold_share(n);
@@ -428,7 +437,6 @@
     const auto& by = set_.routers_by_location;
     return std::max(1u, here < by.size() ? by[here] : set_.routers);
   }
-  // How thin our view is: values were set where one or two routers share a location's traffic.
   double thin() const { return std::max(1.0, neighbours() / kSharers); }
   void warm_up(Node& n) {
     const Time span = n.at.role == Role::parent ? set_.parent_cold : set_.cache_cold;
@@ -471,7 +479,6 @@
     if (const auto g = purged_groups_.find(q.group); g != purged_groups_.end()) at = std::max(at, g->second);
     return at;
   }
-  // No double effect: a further attempt only where the class's rule allows it.
   bool may_repeat_at(const Life& life, const Node& n) const {
     const auto& c = cls(life.q);
     for (const auto& a : life.attempts) {
@@ -489,10 +496,8 @@
       return true;
     return std::all_of(life.attempts.begin(), life.attempts.end(), [](auto& a) { return a.never_ran; });
   }
-  // Sends if every rule allows it: request open, server and source ready (drains), repeat allowed, cold
-  // budget left (both ends), purge ages in force.
-  // It may take all the time that is left. Danger: a time-out on a slow but living cache throws its work away
-  // and sends it to one that lacks the object, which feeds overload; silence is the second copy's to cover.
+  // Sends if every rule allows it. It may take all the time that is left. Danger: a time-out on a slow but
+  // living cache throws its work away and sends it to one that lacks the object, which feeds overload.
   bool pass(Life& life, Node& n, std::optional<Fill> fill) {
     if (!life.open || life.begun || life.attempts.size() >= set_.max_attempts) return false;
     if (!n.ready() || !may_repeat_at(life, n) || !affords(n)) return false;
@@ -536,8 +541,7 @@
     f.source = s ? s->at.id : at.at.id;
     f.keep = rank_for(life, o);
     const bool kept = !c.uncached && !life.q.write;
-    // Danger: fills that wait for a slow or stopped origin hold the caches' places until hits are turned away
-    // too. Over the limit a parent gives what it holds, the origin nothing; stale copies will do.
+    // Danger: fills that wait for a slow origin hold places. Over the limit parents give only what they hold.
     const bool over = kept && life.unseen && fetch_out_ > fetches_.value;
     f.join = kept && set_.can_join_fills;
     f.renew = kept && c.fresh > 0 && o.repeated && !over;
@@ -579,8 +583,7 @@
     for (auto* n : caches_) sum += n->work_out;
     return sum;
   }
-  // Danger: beyond capacity all answers come late and none earns its worth. Covers every cause of crowding
-  // (load, lost caches, cold ones, a crowded link); hurts where only a few slow fills are to blame.
+  // Danger: beyond capacity all answers come late and none earns its worth, whatever caused the crowding.
   bool shed(const Request& q) {
     const double cost = sending(q) / std::max(cls(q).worth, 1e-9);
     cost_.learn(cost);
@@ -590,7 +593,7 @@
     return over;
   }
   // The wait for a source's first byte is taken off where it is told: a slow source is not a crowded
-  // location, and refusing what would have been hits would not help it.
+  // location.
   void feel(const Request& q, const Outcome& o) {
     if (fill_failed(o)) return;
     const bool turned_away = o.result == Result::full;
@@ -619,7 +622,7 @@
     }
     call_off(life);
   }
-  // Ends what is still out. Danger: a second copy's success would hide that the first went unanswered.
+  // Danger: a second copy's success would hide that the first went unanswered.
   void call_off(Life& life) {
     for (std::size_t i = 0; i < life.attempts.size(); ++i) {
       const auto& a = life.attempts[i];
@@ -662,8 +665,8 @@
     }
     if (set_.may_duplicate && cls(q).repeat == Repeat::safe) wake(now_ + late_after(q), Wake::hedge, q.id);
   }
-  // Danger: a router with a few requests a second often hears nothing of a cache while a slow fill runs. What
-  // is slow for everybody is no silence, so the mark moves with the times that attempts take, however late.
+  // Danger: slow fills are no silence where a router hears little; the mark moves with the times attempts
+  // take.
   Time late_after(const Request& q) {
     const auto& pace = learned(q).pace;
     const double late = pace.any ? pace.value + kHedgeDevs * pace.dev : 1;
@@ -686,16 +689,15 @@
     Attempt& a = life.attempts[o.attempt.value];
     a.out = false;
     noted_ |= o.note != Note::none;
-    const bool unsure = unclear(life, a, o);
+    Node* n = find(a.server);
+    const bool unsure = !(n && n->on_trial) && unclear(life, a, o);
     if (a.fetching) fetch_out_ = std::max(0.0, fetch_out_ - a.work);
     a.never_ran = o.result == Result::full || o.result == Result::connect_failed ||
                   o.result == Result::moot || o.result == Result::miss;
-    Node* n = find(a.server);
     if (n) {
       n->out = std::max(0, n->out - 1);
       n->work_out = n->out ? std::max(0.0, n->work_out - a.work) : 0;
-      if (!unsure) judge(*n, life.q, a, o);
-      else n->last_answer = now_, n->answers.add(now_, 1);
+      judge(*n, life.q, a, o);
     }
     judge_source(life.q, a, o);
     if (!unsure) feel(life.q, o);
@@ -718,8 +720,8 @@
     }
     if (!life.open) finish(life);
   }
-  // Where answers say nothing of fills, a failure may be the source's: the same cache is asked once more with
-  // the next source, and an answer then tells which of the two it was.
+  // Answers say nothing of fills: the same cache is asked once more with the next source, to tell the two
+  // apart.
   bool unclear(Life& life, const Attempt& a, const Outcome& o) {
     const bool failed = o.result == Result::error || (o.result == Result::full && o.elapsed > kOwnWord);
     if (noted_ || !a.filling || !failed || life.asked_again == a.server) return false;
@@ -732,7 +734,6 @@
     if (!s || s->at.role != Role::parent || (++s->streak < kSourceFails && !s->on_trial)) return;
     eject(*s);
   }
-  // Blames the right part: where only the fill failed, the same cache is asked again, from elsewhere.
   const Node* follow_up(Life& life, const Attempt& a, const Outcome& o, const Node* n) {
     const bool broke_off = o.result == Result::reset && set_.may_probe && life.attempts.size() == 1;
     if (broke_off || !fill_failed(o) || o.note == Note::fills_full) return broke_off ? n : nullptr;
--- a/src/state.h
+++ b/src/state.h
@@ -15,7 +15,7 @@
   int streak = 0, ejections = 0;
   Time blocked_until = 0, last_answer = -1;
   bool on_trial = false, was_silent = false, probing = false, proved = false;
-  Time probed_at = 0, idle_until = 0;
+  Time probed_at = 0, idle_until = 0, reset_at = 0;
   int out = 0;
   Mean held;  // requests it holds, by its reports
   Time held_at = 0;
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -657,6 +657,32 @@
   EXPECT_EQ(refused, 0);
   EXPECT_LE(to_dead_late, 6);
 }
+// Guards against a cache, or a parent, that fails half of what it is sent and hides behind the other end of
+// its fills: each error might be the source's, and asking once more succeeds often enough.
+TEST(Health, WhoFailsHalfStandsOutAmongItsPeersWhicheverEndItIs) {
+  for (const ServerId failing : {ServerId{2}, ServerId{20}}) {
+    auto s = site();
+    s.may_duplicate = false;
+    Bed bed(s);
+    int errors = 0, late = 0, refused = 0, others = 0;
+    for (std::uint64_t o = 1; o <= 400; ++o) {
+      const auto id = bed.ask(o, 0, 50);
+      bed.advance(50 * ms);
+      for (std::uint32_t k = 0; k < bed.sends[id].size(); ++k) {
+        const auto& to = bed.sends[id][k];
+        const bool concerned = to.server == failing || to.fill->source == failing;
+        const bool fails = concerned && errors++ % 2 == 0;
+        late += concerned && o > 100;
+        others += !concerned && o > 100;
+        if (bed.end(id, fails ? Result::error : Result::ok, Note::none, k, 20 * ms); !fails) break;
+      }
+      refused += bed.answers[id];
+    }
+    EXPECT_LE(late, 45) << failing.value << ": of some 300 it gets trials only";
+    EXPECT_GE(others, 280);
+    EXPECT_LE(refused, 3);
+  }
+}
 // Guards against a silent cache or parent holding its requests to their deadlines where no second copy may
 // go.
 TEST(Health, ASilentCacheIsProbedAndWhatItHoldsMovesOn) {
@@ -686,6 +712,7 @@
   Bed bed(s);
   ServerId home{};
   for (int i = 0; i < 6; ++i) {
+    bed.advance(4 * second);
     const auto id = bed.ask(1);
     ASSERT_EQ(bed.sends[id].size(), 1u);
     if (i > 0) { EXPECT_EQ(bed.sends[id][0].server, home); }
@@ -697,7 +724,26 @@
     bed.tell(Probed{home, true, ms, {}});
     bed.end(id, Result::ok, Note::none, 1);
   }
+  // Where it happens to one cache only, again and again, that one is out however well its probes go.
+  for (int i = 0; i < 40; ++i) {
+    bed.advance(20 * ms);
+    bed.serve(static_cast<std::uint64_t>(100 + i));
+  }
+  for (int i = 0; i < 20 && bed.sends[bed.ask(1)][0].server == home; ++i) {
+    bed.advance(20 * ms);
+    const RequestId id{bed.next - 1};
+    bed.end(id, Result::reset);
+    bed.tell(Probed{home, true, ms, {}});
+    if (bed.sends[id].size() > 1) bed.end(id, Result::ok, Note::none, 1);
+  }
+  EXPECT_NE(bed.sends[bed.ask(1)][0].server, home);
+}
+TEST(Health, ACacheThatResetsAndAnswersNoProbeIsOutAtOnce) {
+  auto s = site();
+  s.may_probe = true;
+  Bed bed(s);
   const auto id = bed.ask(1);
+  const auto home = bed.sends[id][0].server;
   bed.end(id, Result::reset);
   bed.tell(Probed{home, false, 250 * ms, {}});
   EXPECT_NE(bed.sends[bed.ask(1)][0].server, home);
