Spread requests over several connections and ask again for a probe that a reset cut off

A trace showed connections reset with 10 to 18 requests open on them, one each, and, each half second, the probe of a parent cut off by a reset of its idle connection, upon which the module put the parent out and called off the fills from it. Cause: caches.cpp kept all requests to a server on one connection while it took 32, and lost() told the engine that the probe had failed. Now a second connection is opened beside one with three requests on it, up to six a server; a probe that was cut off is asked again on a new connection, up to twice and within its time. A refused connection still says no. Ruled out: deaths (one, at 14.6 s), silent links (none).

--- a/src/platform/caches.cpp
+++ b/src/platform/caches.cpp
@@ -15,6 +15,10 @@
 constexpr core::Time kProbeTime = 250'000, kSweep = 1'000'000;
 constexpr core::Time kSilence = 300'000;  // not a byte for so long while an attempt waited: perhaps dead
 constexpr std::size_t kBurntMost = 512;
+// Danger: a connection that is reset or spoilt takes all that is open on it along. So many share one before
+// another is opened beside it, up to so many to one server.
+constexpr std::size_t kShare = 3, kLinksMost = 6;
+constexpr int kProbeTries = 3;
 // A connection with work of ours on which nothing came for kQuiet is asked for a word; without one it is
 // lost.
 constexpr core::Time kWatch = 50'000, kQuiet = 250'000, kWord = 300'000;
@@ -24,6 +28,7 @@
 struct Caches::Open {
   AttemptId attempt = 0;  // 0: a probe
   core::Time sent = 0;
+  int tries = 1;  // of a probe
   core::Deadlines::Key timeout{};
 };
 struct Caches::Link {
@@ -75,7 +80,7 @@
   if (address) s.address = *address;
   // A process that started anew knows nothing of what its forerunner was asked.
   if (moved || restarted)
-    for (auto& link : s.links) lost(*link, net::Closed::reset);
+    for (std::size_t i = 0, n = s.links.size(); i < n; ++i) lost(*s.links[i], net::Closed::reset);
   if (member.server.status == al::Status::gone)
     for (auto& link : s.links) retire(*link);
 }
@@ -98,7 +103,12 @@
     const auto rank = [](const Link& l) { return std::pair(l.connection->connecting(), l.load()); };
     if (!best || rank(*link) < rank(*best)) best = link.get();
   }
-  return best ? best : dial(server);
+  if (!best) return dial(server);
+  const auto& links = server.links;
+  const auto coming = [](auto& l) { return !l->dead && l->connection->connecting(); };
+  if (best->load() >= kShare && links.size() < kLinksMost && std::none_of(links.begin(), links.end(), coming))
+    dial(server);
+  return best;
 }
 
 Caches::Link* Caches::dial(Server& server) {
@@ -226,17 +236,20 @@
 }
 
 // A refused or hung connect, or a command not written whole, proves that nothing ran.
-void Caches::lost(Link& link, net::Closed) {
+void Caches::lost(Link& link, net::Closed why) {
   if (link.dead) return;
   const auto open = std::move(link.open);
   const auto waiting = std::move(link.waiting);
   link.open.clear();
   link.waiting.clear();
   drop(link);
-  for (const auto& [id, o] : open) {
+  for (const auto& [tag, o] : open) {
     if (!o.attempt) {
       deadlines_.clear(o.timeout);
-      engine_.probed(link.server->member.server.id, false, engine_.now() - o.sent, {});
+      // Danger: connections are reset while the machine is well. Only a refused one, or the next, says more.
+      const auto id = link.server->member.server.id;
+      if (why != net::Closed::refused && o.tries < kProbeTries) probe(id, o.sent, o.tries + 1);
+      else engine_.probed(id, false, engine_.now() - o.sent, {});
       continue;
     }
     where_.erase(o.attempt);
@@ -284,8 +297,10 @@
   if (silent || link.burnt.size() > kBurntMost) retire(link);
 }
 
+void Caches::probe(al::ServerId id) { probe(id, engine_.now(), 1); }
+
 // Danger: on a connection that a spoilt answer has silenced, a probe would say that the machine is silent.
-void Caches::probe(al::ServerId id) {
+void Caches::probe(al::ServerId id, core::Time since, int tries) {
   const auto it = servers_.find(id);
   std::string tag("p");
   tag += std::to_string(++last_probe_);
@@ -293,14 +308,17 @@
   if (it != servers_.end()) {
     for (auto& l : it->second->links) {
       const bool heard = l->open.empty() || l->connection->last_read > engine_.now() - kQuiet;
-      if (!l->dead && !l->retired && !l->checked && !l->connection->connecting() && heard) link = l.get();
+      const bool well = !l->dead && !l->retired && !l->checked && !l->connection->connecting() && heard;
+      if (well && tries == 1) link = l.get();
     }
     if (!link) link = dial(*it->second);
   }
-  if (!link) return engine_.probed(id, false, 0, {});
+  if (!link) return engine_.probed(id, false, engine_.now() - since, {});
   Open& open = link->open[tag];
-  open.sent = link->used = engine_.now();
-  open.timeout = deadlines_.set(open.sent + kProbeTime, [this, link, tag] {
+  link->used = engine_.now();
+  open.sent = since;
+  open.tries = tries;
+  open.timeout = deadlines_.set(since + kProbeTime, [this, link, tag] {
     end_probe(*link, tag, false, {});
     if (link->connection->last_read < engine_.now() - kProbeTime) retire(*link);
   });
@@ -334,9 +352,10 @@
 
 void Caches::watch_links() {
   deadlines_.set(engine_.now() + kWatch, [this] { watch_links(); });
+  // By index: a probe that is asked again opens another connection.
   for (auto& [id, s] : servers_)
-    for (auto& link : s->links)
-      if (!link->dead && !link->connection->connecting()) watch(*link);
+    for (std::size_t i = 0; i < s->links.size(); ++i)
+      if (Link& link = *s->links[i]; !link.dead && !link.connection->connecting()) watch(link);
 }
 
 // Danger: after an answer that stops short or never comes, a connection stays open and is of no further use,
--- a/src/platform/caches.h
+++ b/src/platform/caches.h
@@ -50,6 +50,7 @@
   void drop(Link& link);
   void retire(Link& link);
   bool plausible(const LineAnswer& answer, core::AttemptId attempt) const;
+  void probe(alderspur::ServerId server, core::Time since, int tries);
   void watch_links();
   void watch(Link& link);
   void end_probe(Link& link, const std::string& tag, bool ok, std::string_view report);
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -279,6 +279,36 @@
   EXPECT_EQ(engine->counters().silent_links, 2u);
 }
 
+// Guards against a reset under a probe passing for a sick machine.
+TEST_F(Watched, AProbeThatAResetCutsOffIsAskedAgainElsewhere) {
+  bool again = false;
+  for (int i = 0; i < 20 && !again;
+       ++i) {  // a probe has a quarter of a second, which a slow machine may miss
+    const auto before = box[0].count("stats");
+    caches->probe(config.notices[0].members[0].server.id);
+    ASSERT_TRUE(until([&] { return box[0].count("stats") > before; }));
+    box[0].commands.back().from->reset();
+    settle();
+    again = box[0].count("stats") > before + 1;
+  }
+  EXPECT_TRUE(again);
+}
+
+// Guards against one reset taking all that is open at a box along.
+TEST_F(Platform, ABusyBoxIsSentRequestsOnSeveralConnections) {
+  auto c = client(front->address());
+  for (unsigned i = 1; i <= 30; ++i) {
+    c->write(request(i, "asset", {{"ram", "9"}, {"txn", "00000000000000" + std::to_string(10 + i)}}));
+    ASSERT_TRUE(until([&] { return fetches() == i; }));
+  }
+  std::map<loopback::Socket*, int> open;
+  for (auto& b : box)
+    for (auto& cmd : b.commands) ++open[cmd.from];
+  EXPECT_LE(open.size(), 12u);
+  for (const auto& [from, n] : open) EXPECT_LE(n, 12);
+  EXPECT_GE(open.size(), 4u);
+}
+
 TEST_F(Platform, AHalfClosedClientStillGetsItsAnswer) {
   auto c = client(front->address());
   c->write(request(1, "asset", {}));
