Let what answers take at the least work keep nobody out

A trace of the door each second: its limit fell from 11 to 1.5 sending seconds, its least, and stayed; hits felt a crowd of 0.15, fetches of 0.35, and the aim is 0.3. So little work was let in that the caches never filled and most of it stayed fetches. Cause: feel() in choice.cpp takes the time of a fetch for a crowd of the location, however little is out. Now the crowd felt at the least work is remembered and forgotten as the limit rises, and the aim lies above it, at 0.4 at most.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -32,11 +32,12 @@
 constexpr Time kLeastTime = 30 * kMs;  // less than this left: no attempt can finish
 // Attempts a request, and how many can be saved up.
 constexpr double kRetryPart = 0.15, kRetrySaved = 6, kHedgePart = 0.06, kHedgeSaved = 6;
-// Admission: a limit on sending seconds out, moved by kLimitStep of the distance from kCrowdAim by each
-// answer.
+// Admission: a limit on sending seconds out; each answer moves it by kLimitStep of its distance from the aim.
 constexpr double kCrowdAim = 0.3, kCrowdMost = 2, kLimitStep = 0.03;
 constexpr double kLimitLeast = 0.5;  // seconds for a cache
-constexpr double kCheapRoom = 2;     // over the limit, for requests that cost little for their worth
+constexpr double kStillWork = 2, kStillLearn = 0.03, kStillForget = 0.002, kStillRoom = 0.15,
+                 kStillMost = 0.4;
+constexpr double kCheapRoom = 2;  // over the limit, for requests that cost little for their worth
 constexpr double kFetchAim = 0.5, kFetchLeast = 1.5;  // the same for work that may wait for the origin
 constexpr double kPressLearn = 0.05;                  // weight of one request in the part refused lately
 constexpr int kHardFails = 2;                         // refused, reset or silent in a row: out
@@ -100,6 +101,7 @@
   Limit door_, fetches_;                // of the location's caches; of what may wait for the origin
   bool noted_ = false;                  // answers say what became of fills
   double fetch_out_ = 0, pressed_ = 0;  // sending seconds waiting for the origin; part refused lately
+  double still_ = 0;                    // the crowd felt at the least work
   Mean cost_;                           // sending seconds for a unit of worth
   struct Carry {
     double mean = 0, most = 0;
@@ -258,8 +260,7 @@
   }
   // Danger: a home with more work than it can send slows and stays crowded. While much more of ours is out
   // there than at its peers, the next in hash order goes first. Where we see too little, the caches' reports
-  // tell; then a part of the objects, the same at every router, moves on: copies meet and no herd goes to and
-  // fro.
+  // tell; then a part of the objects, the same at every router, moves on: copies meet, and no herd moves.
   std::vector<Node*> uncrowded(std::vector<Node*> line, ObjectId object) const {
     double work = 0, size = 0, out = 0, held = 0, heard = 0;
     for (auto* n : line) {
@@ -340,8 +341,7 @@
     }
     if (gave || (!noted_ && a.fetching && o.result == Result::ok))
       s->streak = s->ejections = 0, s->on_trial = false;
-    // Danger: many routers reach a parent that starts at once. One refused connection there puts it out, as
-    // cold.
+    // Danger: many routers reach a parent that starts at once. One refused connection there puts it out.
     const bool unreached = o.note == Note::source_unreachable && o.result == Result::full;
     if (broke) s->streak += unreached ? static_cast<int>(thin()) : 1;
     if (!broke || s->streak < kSourceFails) return;
@@ -421,8 +421,7 @@
     const double grown = static_cast<double>(now_ - n.cold_since) / static_cast<double>(span);
     return from + (1 - from) * std::clamp(grown, 0.0, 1.0);
   }
-  // Transfers at a time that this router may ask of a cold server now: its part of the least that is
-  // promised.
+  // Transfers at a time that this router may ask of a cold server now: its part of the least promised.
   double allowance(const Node& n) {
     const bool parent = n.at.role == Role::parent;
     const double share = cold_share(n);
@@ -592,15 +591,17 @@
     pressed_ += kPressLearn * ((over ? 1 : 0) - pressed_);
     return over;
   }
-  // The wait for a source's first byte is taken off where it is told: a slow source is not a crowded
-  // location.
+  // The wait for a source's first byte is taken off where it is told: no crowd of the location.
   void feel(const Request& q, const Outcome& o) {
     if (fill_failed(o)) return;
     const bool turned_away = o.result == Result::full;
     if (!turned_away && o.result != Result::ok) return;
     const Time own = std::max<Time>(0, o.elapsed - o.first_byte);
     const double crowd = turned_away ? kCrowdMost : over_aim(q, static_cast<double>(own));
-    door_.learn(limit_step(), kCrowdAim - crowd, kLimitLeast * static_cast<double>(caches_.size()) / thin(),
+    const double least = kLimitLeast * static_cast<double>(caches_.size()) / thin();
+    // Danger: what answers take however little is out is no crowd; the door would stay shut.
+    still_ += door_.value < kStillWork * least ? kStillLearn * (crowd - still_) : -kStillForget * still_;
+    door_.learn(limit_step(), std::clamp(still_ + kStillRoom, kCrowdAim, kStillMost) - crowd, least,
                 work_out());
   }
   bool others_out(const Life& life) const {
@@ -665,8 +666,7 @@
     }
     if (set_.may_duplicate && cls(q).repeat == Repeat::safe) wake(now_ + late_after(q), Wake::hedge, q.id);
   }
-  // Danger: slow fills are no silence where a router hears little; the mark moves with the times attempts
-  // take.
+  // Danger: slow fills are no silence where a router hears little; the mark moves with their times.
   Time late_after(const Request& q) {
     const auto& pace = learned(q).pace;
     const double late = pace.any ? pace.value + kHedgeDevs * pace.dev : 1;
@@ -720,8 +720,7 @@
     }
     if (!life.open) finish(life);
   }
-  // Answers say nothing of fills: the same cache is asked once more with the next source, to tell the two
-  // apart.
+  // Answers say nothing of fills: the same cache is asked once more with the next source, to tell.
   bool unclear(Life& life, const Attempt& a, const Outcome& o) {
     const bool failed = o.result == Result::error || (o.result == Result::full && o.elapsed > kOwnWord);
     if (noted_ || !a.filling || !failed || life.asked_again == a.server) return false;
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -635,6 +635,27 @@
 }
 // Guards against blaming caches for a dead source where answers carry no notes: every cache looked sick, the
 // next one was asked to fill from the same source, and the door shut.
+// Guards against a door that stays shut because fetches take their time however little is out: the caches
+// behind it would never fill again.
+TEST(Admission, WhatAnswersTakeAtTheLeastWorkKeepsNobodyOut) {
+  auto s = site();
+  s.may_duplicate = false;
+  Bed bed(s);
+  std::multimap<Time, RequestId> due;
+  int served = 0;
+  for (std::uint64_t o = 1; o <= 2000; ++o) {
+    bed.advance(10 * ms);
+    while (!due.empty() && due.begin()->first <= bed.now) {
+      bed.end(due.begin()->second, Result::ok, Note::none, 0, 310 * ms);
+      due.erase(due.begin());
+    }
+    const auto id = bed.ask(o);  // 100 ms to send, wanted within 700: a third of the room is gone
+    if (bed.sends[id].empty()) continue;
+    due.emplace(bed.now + 310 * ms, id);
+    served += o > 1000;
+  }
+  EXPECT_GE(served, 950);
+}
 TEST(Health, WithoutNotesADeadSourceIsFoundByAskingTheSameCacheOnceMore) {
   auto s = site();
   s.may_duplicate = false;
