Put everything under namespace alderspur and share one HTTP reader in src/http

The signed front and the xDS server each had a reader of HTTP requests of their own, and the packages stood under seven top-level names.

--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -8,8 +8,8 @@
 #include <fstream>
 #include <sstream>
 
-namespace config {
-namespace al = alderspur;
+namespace alderspur::config {
+namespace al = ::alderspur;
 using Json = rapidjson::Value;
 
 namespace {
@@ -282,4 +282,4 @@
 
 Config read_file(const std::string& path) { return read(read_text(path)); }
 
-}  // namespace config
+}  // namespace alderspur::config
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -11,7 +11,7 @@
 
 #include "alderspur/router.h"
 
-namespace config {
+namespace alderspur::config {
 
 struct Error : std::runtime_error {
   using std::runtime_error::runtime_error;
@@ -88,4 +88,4 @@
 // The same id gives the same number at every router: rendezvous hashes must agree.
 alderspur::ServerId server_id(std::string_view name);
 
-}  // namespace config
+}  // namespace alderspur::config
--- a/src/core/counters.h
+++ b/src/core/counters.h
@@ -3,7 +3,7 @@
 
 #include <cstdint>
 
-namespace core {
+namespace alderspur::core {
 
 struct Counters {
   std::uint64_t taken = 0, sent = 0, probes = 0;
@@ -16,4 +16,4 @@
                 too_much = 0;
 };
 
-}  // namespace core
+}  // namespace alderspur::core
--- a/src/core/deadlines.h
+++ b/src/core/deadlines.h
@@ -7,7 +7,7 @@
 #include <map>
 #include <utility>
 
-namespace core {
+namespace alderspur::core {
 
 using Time = std::int64_t;  // microseconds
 
@@ -45,4 +45,4 @@
   std::uint64_t last_ = 0;
 };
 
-}  // namespace core
+}  // namespace alderspur::core
--- a/src/core/engine.cpp
+++ b/src/core/engine.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-namespace core {
+namespace alderspur::core {
 namespace {
 
 // The answer must reach the client before it gives up: ways, its clock and ours take their part.
@@ -320,4 +320,4 @@
                                    : counters_.attempts_cancelled);
 }
 
-}  // namespace core
+}  // namespace alderspur::core
--- a/src/core/engine.h
+++ b/src/core/engine.h
@@ -19,7 +19,7 @@
 #include "core/counters.h"
 #include "core/deadlines.h"
 
-namespace core {
+namespace alderspur::core {
 
 namespace module = ::alderspur;
 using Ticket = std::uint64_t;     // a request taken
@@ -151,4 +151,4 @@
   ~Engine();
 };
 
-}  // namespace core
+}  // namespace alderspur::core
--- a/src/core/text.h
+++ b/src/core/text.h
@@ -6,7 +6,7 @@
 #include <string_view>
 #include <type_traits>
 
-namespace core {
+namespace alderspur::core {
 
 // The whole text must be the number.
 template <class T>
@@ -34,4 +34,4 @@
   return text.size() <= 64;
 }
 
-}  // namespace core
+}  // namespace alderspur::core
--- a/src/signed/http.cpp
+++ b/src/http/message.cpp
@@ -1,18 +1,18 @@
-#include "signed/http.h"
+#include "http/message.h"
 
 #include <http_parser.h>
 #include <strings.h>
 
 #include "core/text.h"
 
-namespace signed_urls {
+namespace alderspur::http {
 namespace {
 
 struct Parsing {
-  HttpRequest* request;
+  Request* request;
+  bool reads_body = false;
   std::string_view name;
-  std::string_view* value = nullptr;
-  bool done = false;
+  bool head_done = false, done = false;
   bool repeated = false;
 };
 bool same(std::string_view a, std::string_view b) {
@@ -39,6 +39,16 @@
   return 0;
 }
 int on_head(http_parser* p) {
+  auto& s = *static_cast<Parsing*>(p->data);
+  s.head_done = true;
+  if (!s.reads_body) http_parser_pause(p, 1);
+  return 0;
+}
+int on_body(http_parser* p, const char* at, std::size_t n) {
+  static_cast<Parsing*>(p->data)->request->body.append(at, n);
+  return 0;
+}
+int on_whole(http_parser* p) {
   static_cast<Parsing*>(p->data)->done = true;
   http_parser_pause(p, 1);
   return 0;
@@ -62,6 +72,8 @@
       return "Method Not Allowed";
     case 408:
       return "Request Timeout";
+    case 413:
+      return "Content Too Large";
     case 431:
       return "Request Header Fields Too Large";
     case 502:
@@ -75,15 +87,17 @@
 
 }  // namespace
 
-bool next_request(std::string_view& bytes, HttpRequest& request) {
+bool next_request(std::string_view& bytes, Request& request, const Limits& limits) {
   request = {};
   while (bytes.starts_with("\r\n")) bytes.remove_prefix(2);
-  const auto end = bytes.substr(0, kHeadMost).find("\r\n\r\n");
-  const bool too_long = end == std::string_view::npos && bytes.size() >= kHeadMost;
-  if (too_long) return request.error = 431, true;
+  const auto end = bytes.substr(0, limits.head).find("\r\n\r\n");
+  const bool whole_head = end != std::string_view::npos;
+  if (!whole_head && bytes.size() >= limits.head) return request.error = 431, true;
   http_parser parser;
   http_parser_init(&parser, HTTP_REQUEST);
-  Parsing state{&request, {}, nullptr, false, false};
+  Parsing state;
+  state.request = &request;
+  state.reads_body = limits.body > 0;
   parser.data = &state;
   http_parser_settings settings;
   http_parser_settings_init(&settings);
@@ -91,35 +105,49 @@
   settings.on_header_field = on_name;
   settings.on_header_value = on_value;
   settings.on_headers_complete = on_head;
+  settings.on_body = on_body;
+  settings.on_message_complete = on_whole;
   // Also where the head is not whole yet: what can never become a request is answered now.
-  const auto head = end == std::string_view::npos ? bytes : bytes.substr(0, end + 4);
-  http_parser_execute(&parser, &settings, head.data(), head.size());
+  const auto head = whole_head && !state.reads_body ? bytes.substr(0, end + 4) : bytes;
+  const auto used = http_parser_execute(&parser, &settings, head.data(), head.size());
   const auto error = HTTP_PARSER_ERRNO(&parser);
   if (error != HPE_OK && error != HPE_PAUSED) return request.error = 400, true;
-  if (!state.done) {
-    if (end == std::string_view::npos) return false;
+  if (!state.head_done) {
+    if (!whole_head) return false;
     return request.error = 400, true;
   }
-  bytes.remove_prefix(head.size());
-  request.keep_alive = http_should_keep_alive(&parser) != 0;
-  request.head = parser.method == HTTP_HEAD;
-  request.wrong_method = !request.head && parser.method != HTTP_GET;
   const bool has_body =
       (parser.flags & F_CHUNKED) != 0 || ((parser.flags & F_CONTENTLENGTH) != 0 && parser.content_length > 0);
-  // A body is not read here, so nothing behind it on this connection can be told from it.
-  if (has_body || request.wrong_method) request.keep_alive = false;
-  if (state.repeated || parser.upgrade || (has_body && !request.wrong_method)) request.error = 400;
+  if (state.reads_body) {
+    // The length is what the request announced less what has come: never wait for more than will be read.
+    const bool announced = (parser.flags & F_CONTENTLENGTH) != 0 && !state.done;
+    if (request.body.size() > limits.body || (announced && parser.content_length > limits.body))
+      return request.error = 413, true;
+    if (!state.done) return false;
+    bytes.remove_prefix(used);
+  } else {
+    bytes.remove_prefix(head.size());
+  }
+  request.keep_alive = http_should_keep_alive(&parser) != 0;
+  request.method = parser.method == HTTP_GET    ? Method::get
+                   : parser.method == HTTP_HEAD ? Method::head
+                   : parser.method == HTTP_POST ? Method::post
+                                                : Method::other;
+  const bool reads = request.method == Method::get || request.method == Method::head;
+  // A body that is not read leaves nothing behind it on this connection that could be told from it.
+  if (!state.reads_body && (has_body || !reads)) request.keep_alive = false;
+  if (state.repeated || parser.upgrade || (!state.reads_body && has_body && reads)) request.error = 400;
   return true;
 }
 
-std::string response_head(const HttpAnswer& a) {
+std::string response_head(const Answer& a) {
   std::string out = "HTTP/1.1 " + std::to_string(a.status) + ' ' + reason(a.status) + "\r\n";
   if (a.status != 304) out += "Content-Length: " + std::to_string(a.length) + "\r\n";
-  if (a.status == 200) out += "Content-Type: application/octet-stream\r\n";
-  if (a.status == 200 || a.status == 304) out += "Cache-Control: private\r\n";
+  if (a.status == 200) ((out += "Content-Type: ") += a.type) += "\r\n";
+  if (a.cacheable && (a.status == 200 || a.status == 304)) out += "Cache-Control: private\r\n";
   if (!a.etag.empty()) ((out += "ETag: \"") += a.etag) += "\"\r\n";
   if (a.status == 401) out += "WWW-Authenticate: Bearer\r\n";
-  if (a.status == 405) out += "Allow: GET, HEAD\r\n";
+  if (a.status == 405) ((out += "Allow: ") += a.allow) += "\r\n";
   if (a.status == 503)
     out += "Retry-After: " + std::to_string(std::max<core::Time>(1, (a.retry_after + 999'999) / 1'000'000)) +
            "\r\n";
@@ -146,4 +174,4 @@
   return core::plain_word(tag) ? tag : std::string_view();
 }
 
-}  // namespace signed_urls
+}  // namespace alderspur::http
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -15,6 +15,8 @@
 #include "signed/http_front.h"
 #include "xds/server.h"
 
+using namespace alderspur;
+
 namespace {
 
 constexpr core::Time kLinger = 700'000;  // after SIGTERM clients still come and ask for this long
--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -12,7 +12,7 @@
 #include <cstring>
 #include <stdexcept>
 
-namespace net {
+namespace alderspur::net {
 namespace {
 
 constexpr std::size_t kReadLeast = 16 << 10, kReadMost = 512 << 10;
@@ -242,4 +242,4 @@
   }
 }
 
-}  // namespace net
+}  // namespace alderspur::net
--- a/src/net/connection.h
+++ b/src/net/connection.h
@@ -15,7 +15,7 @@
 
 #include "net/loop.h"
 
-namespace net {
+namespace alderspur::net {
 
 // "127.0.0.4:4100"; only numeric addresses, there is no DNS.
 std::optional<sockaddr_in> parse_address(std::string_view text);
@@ -109,4 +109,4 @@
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
-}  // namespace net
+}  // namespace alderspur::net
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <chrono>
 
-namespace net {
+namespace alderspur::net {
 
 core::Time unix_now() {
   using std::chrono::duration_cast, std::chrono::microseconds, std::chrono::system_clock;
@@ -64,4 +64,4 @@
 }
 void Loop::signalled(struct ev_loop*, ev_signal* w, int) { static_cast<Signal*>(w->data)->then(); }
 
-}  // namespace net
+}  // namespace alderspur::net
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -9,7 +9,7 @@
 
 #include "core/deadlines.h"
 
-namespace net {
+namespace alderspur::net {
 
 core::Time unix_now();  // microseconds
 
@@ -63,4 +63,4 @@
   std::vector<std::unique_ptr<Signal>> signals_;
 };
 
-}  // namespace net
+}  // namespace alderspur::net
--- a/src/platform/board.cpp
+++ b/src/platform/board.cpp
@@ -1,7 +1,7 @@
 #include "platform/board.h"
 
-namespace platform {
-namespace al = alderspur;
+namespace alderspur::platform {
+namespace al = ::alderspur;
 
 namespace {
 
@@ -119,4 +119,4 @@
   if (connection_) connection_->end_turn();
 }
 
-}  // namespace platform
+}  // namespace alderspur::platform
--- a/src/platform/board.h
+++ b/src/platform/board.h
@@ -11,7 +11,7 @@
 #include "net/connection.h"
 #include "platform/caches.h"
 
-namespace platform {
+namespace alderspur::platform {
 
 class Board {
  public:
@@ -45,4 +45,4 @@
   std::optional<core::Deadlines::Key> waiting_;
 };
 
-}  // namespace platform
+}  // namespace alderspur::platform
--- a/src/platform/caches.cpp
+++ b/src/platform/caches.cpp
@@ -5,8 +5,8 @@
 
 #include "platform/lines.h"
 
-namespace platform {
-namespace al = alderspur;
+namespace alderspur::platform {
+namespace al = ::alderspur;
 using al::Result;
 using core::AttemptId;
 
@@ -392,4 +392,4 @@
   });
 }
 
-}  // namespace platform
+}  // namespace alderspur::platform
--- a/src/platform/caches.h
+++ b/src/platform/caches.h
@@ -12,7 +12,7 @@
 #include "core/engine.h"
 #include "net/connection.h"
 
-namespace platform {
+namespace alderspur::platform {
 
 struct LineAnswer;
 
@@ -66,4 +66,4 @@
   std::uint64_t last_probe_ = 0;
 };
 
-}  // namespace platform
+}  // namespace alderspur::platform
--- a/src/platform/lines.cpp
+++ b/src/platform/lines.cpp
@@ -2,7 +2,7 @@
 
 #include "core/text.h"
 
-namespace platform {
+namespace alderspur::platform {
 namespace {
 
 constexpr std::size_t kLineMost = 4096, kBodyMost = 240'000;
@@ -107,4 +107,4 @@
   return r;
 }
 
-}  // namespace platform
+}  // namespace alderspur::platform
--- a/src/platform/lines.h
+++ b/src/platform/lines.h
@@ -7,7 +7,7 @@
 
 #include "core/engine.h"
 
-namespace platform {
+namespace alderspur::platform {
 
 // The line before the body; the body and CR LF follow.
 std::string fetch_line(const core::Order& order, std::string_view lane, std::string_view source,
@@ -24,4 +24,4 @@
 std::optional<alderspur::Result> result_of(std::string_view word);
 alderspur::Report report_of(std::string_view text);
 
-}  // namespace platform
+}  // namespace alderspur::platform
--- a/src/platform/rpc.cpp
+++ b/src/platform/rpc.cpp
@@ -6,7 +6,7 @@
 
 #include "core/text.h"
 
-namespace platform {
+namespace alderspur::platform {
 namespace {
 
 constexpr std::size_t kMessageMost = 64 << 10, kBodyMost = 48'000;  // of a write
@@ -202,4 +202,4 @@
   return p.out();
 }
 
-}  // namespace platform
+}  // namespace alderspur::platform
--- a/src/platform/rpc.h
+++ b/src/platform/rpc.h
@@ -8,7 +8,7 @@
 #include "core/engine.h"
 #include "platform/lines.h"
 
-namespace platform {
+namespace alderspur::platform {
 
 struct Call {
   bool notification = false;
@@ -36,4 +36,4 @@
 Encoded encode_answer(std::uint64_t id, const core::Answer& answer);
 std::string encode_status(std::uint64_t id);
 
-}  // namespace platform
+}  // namespace alderspur::platform
--- a/src/platform/rpc_front.cpp
+++ b/src/platform/rpc_front.cpp
@@ -5,7 +5,7 @@
 
 #include "platform/rpc.h"
 
-namespace platform {
+namespace alderspur::platform {
 namespace {
 
 constexpr std::size_t kQueuePause = 1 << 20, kQueueMost = 12 << 20;  // 32 open requests of 240,000 bytes
@@ -243,4 +243,4 @@
                                        [](auto& c) { return c->dead || c->connection->unwritten() == 0; });
 }
 
-}  // namespace platform
+}  // namespace alderspur::platform
--- a/src/platform/rpc_front.h
+++ b/src/platform/rpc_front.h
@@ -12,7 +12,7 @@
 #include "net/connection.h"
 #include "platform/rpc.h"
 
-namespace platform {
+namespace alderspur::platform {
 
 class RpcFront : public core::Front {
  public:
@@ -51,4 +51,4 @@
   net::Listener listener_;
 };
 
-}  // namespace platform
+}  // namespace alderspur::platform
--- a/src/signed/http_front.cpp
+++ b/src/signed/http_front.cpp
@@ -4,9 +4,9 @@
 #include <cstdio>
 
 #include "core/text.h"
-#include "signed/http.h"
+#include "http/message.h"
 
-namespace signed_urls {
+namespace alderspur::signed_urls {
 namespace {
 
 constexpr core::Time kIdle = 15'000'000, kHeadTime = 10'000'000, kWriteTime = 30'000'000;
@@ -85,22 +85,22 @@
     return 0;
   }
   const auto before = bytes.size();
-  HttpRequest request;
-  if (!next_request(bytes, request)) return 0;
-  client.head = request.head;
+  http::Request request;
+  if (!http::next_request(bytes, request)) return 0;
+  client.head = request.method == http::Method::head;
   client.keep_alive = request.keep_alive && !request.error && !leaving_;
   if (request.error) {
     ++engine_.counters().bad_requests;
     respond(client, request.error);
     return static_cast<std::ptrdiff_t>(before);
   }
-  if (request.wrong_method) respond(client, 405);
+  if (!client.head && request.method != http::Method::get) respond(client, 405);
   else ask(client, request);
   return static_cast<std::ptrdiff_t>(before - bytes.size());
 }
 
 // "/asset/7f3a9c21e0b4d655/0": the class by its prefix, the object, the part.
-void HttpFront::ask(Client& client, const HttpRequest& request) {
+void HttpFront::ask(Client& client, const http::Request& request) {
   const auto path = request.target.substr(0, request.target.find('?'));
   const auto query = request.target.substr(std::min(request.target.size(), path.size() + 1));
   core::Demand d;
@@ -126,7 +126,7 @@
   if (text.empty()) {
     auto given = request.authorization;
     const bool bearer = given.size() > 7 && (given[0] | 32) == 'b' && given.substr(1, 6) == "earer ";
-    given = bearer ? given.substr(7) : cookie_value(request.cookie, settings_.cookie);
+    given = bearer ? given.substr(7) : http::cookie_value(request.cookie, settings_.cookie);
     if (!given.empty()) {
       check = Check::malformed;
       if (auto decoded = from_base64url(given)) token = std::move(*decoded), text = token;
@@ -146,7 +146,7 @@
   std::snprintf(id, sizeof id, "%016llx",
                 static_cast<unsigned long long>(mix(random_ += 0x9e3779b97f4a7c15ULL)));
   d.id = std::string_view(id, 16);
-  d.held_tag = bare_tag(request.if_none_match);
+  d.held_tag = http::bare_tag(request.if_none_match);
   d.limit = route->limit;
   client.ticket = engine_.take(*this, d);
   asked_[client.ticket] = &client;
@@ -169,13 +169,13 @@
 
 void HttpFront::respond(Client& client, int status, const core::Answer& answer) {
   if (client.dead) return;
-  HttpAnswer a;
+  http::Answer a;
   a.status = status;
   a.retry_after = answer.retry_after;
   a.length = answer.body.size();
   a.etag = answer.verdict == core::Verdict::served ? answer.tag : std::string_view();
   a.keep_alive = client.keep_alive = client.keep_alive && !leaving_;
-  client.connection->write(response_head(a), client.head ? std::string_view() : answer.body);
+  client.connection->write(http::response_head(a), client.head ? std::string_view() : answer.body);
   client.ending = !a.keep_alive;
   wait(client, client.connection->unwritten() ? kWriteTime : kIdle);
 }
@@ -210,4 +210,4 @@
                                        [](auto& c) { return c->dead || c->connection->unwritten() == 0; });
 }
 
-}  // namespace signed_urls
+}  // namespace alderspur::signed_urls
--- a/src/signed/http_front.h
+++ b/src/signed/http_front.h
@@ -8,12 +8,11 @@
 
 #include "config/config.h"
 #include "core/engine.h"
+#include "http/message.h"
 #include "net/connection.h"
 #include "signed/token.h"
 
-namespace signed_urls {
-
-struct HttpRequest;
+namespace alderspur::signed_urls {
 
 class HttpFront : public core::Front {
  public:
@@ -33,7 +32,7 @@
   struct Client;
   void accept(net::Fd fd);
   std::ptrdiff_t take(Client& client, std::string_view bytes);
-  void ask(Client& client, const HttpRequest& request);
+  void ask(Client& client, const http::Request& request);
   void respond(Client& client, int status, const core::Answer& answer = {});
   void drop(Client& client);
   void wait(Client& client, core::Time time);
@@ -53,4 +52,4 @@
   net::Listener listener_;
 };
 
-}  // namespace signed_urls
+}  // namespace alderspur::signed_urls
--- a/src/signed/token.cpp
+++ b/src/signed/token.cpp
@@ -8,7 +8,7 @@
 
 #include "core/text.h"
 
-namespace signed_urls {
+namespace alderspur::signed_urls {
 namespace {
 
 bool seconds(std::string_view text, std::int64_t& out) {
@@ -112,4 +112,4 @@
   return Check::good;
 }
 
-}  // namespace signed_urls
+}  // namespace alderspur::signed_urls
--- a/src/simhost/codec.cpp
+++ b/src/simhost/codec.cpp
@@ -6,8 +6,8 @@
 #include <limits>
 #include <set>
 
-namespace simhost {
-namespace al = alderspur;
+namespace alderspur::simhost {
+namespace al = ::alderspur;
 
 namespace {
 
@@ -321,4 +321,4 @@
   return reply.out + orders;
 }
 
-}  // namespace simhost
+}  // namespace alderspur::simhost
--- a/src/simhost/main.cpp
+++ b/src/simhost/main.cpp
@@ -5,6 +5,8 @@
 
 #include "simhost/codec.h"
 
+using namespace alderspur;
+
 namespace {
 
 // Reads exactly n bytes in steps, so that a false length cannot claim memory that never arrives.
--- a/src/xds/eds.cpp
+++ b/src/xds/eds.cpp
@@ -7,8 +7,8 @@
 #include <algorithm>
 #include <cmath>
 
-namespace xds {
-namespace al = alderspur;
+namespace alderspur::xds {
+namespace al = ::alderspur;
 namespace {
 
 constexpr std::string_view kType = "type.googleapis.com/envoy.config.endpoint.v3.ClusterLoadAssignment";
@@ -84,4 +84,4 @@
   return {200, out.GetString()};
 }
 
-}  // namespace xds
+}  // namespace alderspur::xds
--- a/src/xds/eds.h
+++ b/src/xds/eds.h
@@ -8,7 +8,7 @@
 
 #include "alderspur/router.h"
 
-namespace xds {
+namespace alderspur::xds {
 
 struct Reply {
   int status = 200;
@@ -19,4 +19,4 @@
                const std::vector<alderspur::Standing>& standings,
                const std::function<std::string(alderspur::ServerId)>& address);
 
-}  // namespace xds
+}  // namespace alderspur::xds
--- a/src/xds/server.h
+++ b/src/xds/server.h
@@ -9,7 +9,7 @@
 #include "net/connection.h"
 #include "platform/caches.h"
 
-namespace xds {
+namespace alderspur::xds {
 
 class Server {
  public:
@@ -35,4 +35,4 @@
   net::Listener listener_;
 };
 
-}  // namespace xds
+}  // namespace alderspur::xds
--- a/tests/codec_test.cpp
+++ b/tests/codec_test.cpp
@@ -5,6 +5,8 @@
 
 namespace {
 
+using namespace alderspur;
+
 std::string bytes(const std::string& hex) {
   std::string out, digits;
   for (const char c : hex)
--- a/tests/loopback.h
+++ b/tests/loopback.h
@@ -26,6 +26,8 @@
 
 namespace loopback {
 
+using namespace alderspur;
+
 class Socket {  // a peer's end: everything read is kept in `in`
  public:
   explicit Socket(int fd) : fd_(fd) { ::fcntl(fd_, F_SETFL, O_NONBLOCK); }
--- a/tests/mangled_test.cpp
+++ b/tests/mangled_test.cpp
@@ -8,15 +8,17 @@
 #include <vector>
 
 #include "config/config.h"
+#include "http/message.h"
 #include "loopback.h"
 #include "platform/lines.h"
 #include "platform/rpc.h"
-#include "signed/http.h"
 #include "signed/token.h"
 #include "xds/eds.h"
 
 namespace {
 
+using namespace alderspur;
+
 // Calls `read` with many spoiled copies of `good`, each in memory of just its size.
 void mangle(const std::string& good, const std::function<void(std::string_view)>& read) {
   std::mt19937 random(7);
@@ -90,12 +92,12 @@
   });
   mangle("GET " + link + " HTTP/1.1\r\nHost: x\r\nCookie: a=b; alderspur=c\r\nIf-None-Match: \"t\"\r\n\r\n",
          [](std::string_view bytes) {
-           signed_urls::HttpRequest request;
+           http::Request request;
            const auto before = bytes.size();
-           signed_urls::next_request(bytes, request);
+           http::next_request(bytes, request);
            EXPECT_LE(bytes.size(), before);
-           signed_urls::cookie_value(request.cookie, "alderspur");
-           signed_urls::bare_tag(request.if_none_match);
+           http::cookie_value(request.cookie, "alderspur");
+           http::bare_tag(request.if_none_match);
          });
 }
 
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -10,6 +10,8 @@
 
 namespace {
 
+using namespace alderspur;
+
 using loopback::Box;
 using loopback::Command;
 using loopback::pack;
--- a/tests/process_test.cpp
+++ b/tests/process_test.cpp
@@ -11,6 +11,8 @@
 
 namespace {
 
+using namespace alderspur;
+
 using loopback::Box;
 
 class Program {
--- a/tests/signed_test.cpp
+++ b/tests/signed_test.cpp
@@ -2,12 +2,14 @@
 #include <algorithm>
 #include <sstream>
 
+#include "http/message.h"
 #include "loopback.h"
-#include "signed/http.h"
 #include "signed/token.h"
 
 namespace {
 
+using namespace alderspur;
+
 using loopback::Box;
 
 class Signed : public loopback::Story {
--- a/tests/xds_test.cpp
+++ b/tests/xds_test.cpp
@@ -9,6 +9,8 @@
 
 namespace {
 
+using namespace alderspur;
+
 class Discovery : public loopback::Story {
  protected:
   void SetUp() override {
