Walk only the connections and servers that a turn has touched

Every turn walked all clients of both fronts and all links of all listed servers, so each request paid for thousands of idle connections and for the length of the list. Now what was read, written, answered or dropped puts its connection on the turn's list, and only that is walked; clients leave by swapping places, and the two timed walks over connections to servers go over those servers that have any. A full list from the board was compared server by server with all others (a square of its length); it is a set now.

--- a/src/platform/caches.cpp
+++ b/src/platform/caches.cpp
@@ -52,6 +52,7 @@
   config::Member member;
   sockaddr_in address{};
   std::vector<std::unique_ptr<Link>> links;
+  bool touched = false;
 };
 
 Caches::Caches(net::Loop& loop, core::Deadlines& deadlines, core::Engine& engine,
@@ -81,15 +82,24 @@
   // A process that started anew knows nothing of what its forerunner was asked.
   if (moved || restarted)
     for (std::size_t i = 0, n = s.links.size(); i < n; ++i) lost(*s.links[i], net::Closed::reset);
-  if (member.server.status == al::Status::gone)
-    for (auto& link : s.links) retire(*link);
+  if (member.server.status != al::Status::gone) return;
+  touch(s);
+  for (auto& link : s.links) retire(*link);
+}
+
+// Danger: a walk over all servers in every turn makes each request pay for the length of the list.
+void Caches::touch(Server& server) {
+  if (std::exchange(server.touched, true)) return;
+  touched_.push_back(&server);
 }
 
 void Caches::only(const std::vector<config::Member>& members) {
+  std::unordered_set<std::uint64_t> listed;
+  for (const auto& m : members) listed.insert(m.server.id.value);
   for (auto& [id, s] : servers_) {
-    const auto listed = [&, id = id](auto& m) { return m.server.id == id; };
-    if (std::any_of(members.begin(), members.end(), listed)) continue;
+    if (listed.contains(id.value)) continue;
     s->member.server.status = al::Status::gone;
+    touch(*s);
     for (auto& link : s->links) retire(*link);
   }
 }
@@ -128,6 +138,7 @@
     if (raw->connection->connecting()) lost(*raw, net::Closed::refused);
   });
   server.links.push_back(std::move(link));
+  linked_[server.member.server.id] = &server;
   return raw;
 }
 
@@ -192,6 +203,7 @@
 }
 
 std::ptrdiff_t Caches::take(Link& link, std::string_view bytes) {
+  touch(*link.server);
   const auto before = bytes.size();
   LineAnswer answer;
   for (;;) {
@@ -265,6 +277,7 @@
 void Caches::drop(Link& link) {
   if (link.dead) return;
   link.dead = true;
+  touch(*link.server);
   if (link.dial.first) deadlines_.clear(link.dial);
   link.connection->close();
   --link_count_;
@@ -345,7 +358,7 @@
   const core::Time now = engine_.now();
   deadlines_.set(now + kSweep, [this] { sweep(); });
   // Closed before the cache does it: a command that crosses its close might have run.
-  for (auto& [id, s] : servers_)
+  for (auto& [id, s] : linked_)
     for (auto& link : s->links)
       if (!link->dead && link->load() == 0 && now > link->used + config_.idle_close * 4 / 5) drop(*link);
 }
@@ -353,7 +366,7 @@
 void Caches::watch_links() {
   deadlines_.set(engine_.now() + kWatch, [this] { watch_links(); });
   // By index: a probe that is asked again opens another connection.
-  for (auto& [id, s] : servers_)
+  for (auto& [id, s] : linked_)
     for (std::size_t i = 0; i < s->links.size(); ++i)
       if (Link& link = *s->links[i]; !link.dead && !link.connection->connecting()) watch(link);
 }
@@ -382,14 +395,16 @@
 }
 
 void Caches::end_turn() {
-  for (auto& [id, s] : servers_) {
+  for (Server* s : std::exchange(touched_, {})) {
+    s->touched = false;
     for (auto& link : s->links)
       if (!link->dead) link->connection->end_turn();
     std::erase_if(s->links, [](auto& link) { return link->dead; });
+    if (!s->links.empty()) continue;
+    const auto id = s->member.server.id;
+    linked_.erase(id);
+    if (s->member.server.status == al::Status::gone) servers_.erase(id);
   }
-  std::erase_if(servers_, [](auto& e) {
-    return e.second->links.empty() && e.second->member.server.status == al::Status::gone;
-  });
 }
 
 }  // namespace alderspur::platform
--- a/src/platform/caches.h
+++ b/src/platform/caches.h
@@ -40,6 +40,7 @@
   struct Server;
   struct Open;
 
+  void touch(Server& server);
   Link* pick(Server& server, std::string_view id);
   Link* dial(Server& server);
   void put(Link& link, core::AttemptId attempt);
@@ -61,6 +62,8 @@
   core::Engine& engine_;
   const config::Config& config_;
   std::map<alderspur::ServerId, std::unique_ptr<Server>> servers_;
+  std::map<alderspur::ServerId, Server*> linked_;  // those with connections: few of a long list
+  std::vector<Server*> touched_;                   // of this turn, each once
   std::unordered_map<core::AttemptId, Link*> where_;
   std::size_t link_count_ = 0, link_limit_;
   std::uint64_t last_probe_ = 0;
--- a/src/platform/rpc_front.cpp
+++ b/src/platform/rpc_front.cpp
@@ -31,6 +31,8 @@
   core::Time taken_at = 0;             // when it last took bytes of those that wait for it
   std::uint64_t taken = 0;
   std::size_t queued = 0, unread = 0;  // as counted for all clients
+  std::size_t place = 0;               // in clients_
+  bool touched = false;
 };
 
 RpcFront::RpcFront(net::Loop& loop, core::Deadlines& deadlines, core::Engine& engine,
@@ -62,10 +64,11 @@
   handler.on_data = [this, raw](std::string_view bytes) { return take(*raw, bytes); };
   handler.on_written = [this, raw] {
     raw->connection->pause_reading(raw->connection->unwritten() > kQueuePause);
-    count(*raw);
+    touch(*raw);
   };
   handler.on_close = [this, raw](net::Closed why) { lost(*raw, why == net::Closed::by_peer); };
   raw->connection = std::make_unique<net::Connection>(loop_, std::move(fd), false, std::move(handler));
+  raw->place = clients_.size();
   clients_.push_back(std::move(client));
   ++live_;
 }
@@ -115,7 +118,21 @@
   }
 }
 
+// Danger: a walk over all clients in every turn makes each request pay for thousands of idle connections. Who
+// was read, written to or dropped is on the list; nobody else can need anything at the turn's end.
+void RpcFront::touch(Client& client) {
+  if (std::exchange(client.touched, true)) return;
+  touched_.push_back(&client);
+}
+void RpcFront::bury(Client& client) {
+  const std::size_t place = client.place;
+  std::swap(clients_[place], clients_.back());
+  clients_[place]->place = place;
+  clients_.pop_back();
+}
+
 std::ptrdiff_t RpcFront::take(Client& client, std::string_view bytes) {
+  touch(client);
   const auto before = bytes.size();
   bool whole = false;
   while (!client.dead) {
@@ -190,6 +207,7 @@
   if (client.dead) return;
   const auto encoded = encode_answer(id, answer);
   client.connection->write(encoded.head, answer.body, encoded.tail);
+  touch(client);
   count(client);
   if (client.queued > kQueuePause) client.connection->pause_reading(true);
   if (client.queued <= kQueueMost && queued_ <= memory_ / kHeldPart) return;
@@ -201,6 +219,7 @@
 
 // A client may end its side and still wait for answers; after a reset nobody waits.
 void RpcFront::lost(Client& client, bool half) {
+  touch(client);
   client.ending = true;
   if (!half) drop(client);
 }
@@ -208,6 +227,7 @@
 void RpcFront::drop(Client& client) {
   if (client.dead) return;
   client.dead = true;
+  touch(client);
   --live_;
   client.connection->close();
   count(client);
@@ -219,7 +239,7 @@
 }
 
 void RpcFront::end_turn() {
-  for (auto& c : clients_) {
+  for (Client* c : touched_) {
     if (c->dead) continue;
     c->connection->end_turn();
     count(*c);
@@ -233,7 +253,11 @@
     ++engine_.counters().silent_clients;
     drop(**oldest);
   }
-  std::erase_if(clients_, [](auto& c) { return c->dead; });
+  const auto touched = std::exchange(touched_, {});
+  for (Client* c : touched) {
+    c->touched = false;
+    if (c->dead) bury(*c);
+  }
 }
 
 void RpcFront::stop_listening() { listener_.stop(); }
--- a/src/platform/rpc_front.h
+++ b/src/platform/rpc_front.h
@@ -34,6 +34,8 @@
   void reply(Client& client, std::uint64_t id, const core::Answer& answer);
   void lost(Client& client, bool half);
   void drop(Client& client);
+  void touch(Client& client);
+  void bury(Client& client);
   bool make_room();
   void count(Client& client);
   void watch();
@@ -44,7 +46,8 @@
   const config::Config& config_;
   std::unordered_map<std::string, std::pair<std::uint32_t, Form>> classes_;
   std::size_t most_clients_, memory_;
-  std::vector<std::unique_ptr<Client>> clients_;
+  std::vector<std::unique_ptr<Client>> clients_;  // in no order; each knows its place
+  std::vector<Client*> touched_;                  // of this turn, each once
   std::size_t live_ = 0, queued_ = 0,
               unread_ = 0;  // clients; bytes answered and not yet taken; of half messages
   std::unordered_map<core::Ticket, std::pair<Client*, std::uint64_t>> asked_;
--- a/src/signed/http_front.cpp
+++ b/src/signed/http_front.cpp
@@ -29,6 +29,8 @@
   bool head = false, keep_alive = true;
   bool dead = false, ending = false, finished = false;
   core::Deadlines::Key timeout{};
+  std::size_t place = 0;  // in clients_
+  bool touched = false;
 };
 
 HttpFront::HttpFront(net::Loop& loop, core::Deadlines& deadlines, core::Engine& engine,
@@ -66,9 +68,11 @@
   Client* raw = client.get();
   net::Connection::Handler handler;
   handler.on_data = [this, raw](std::string_view bytes) { return take(*raw, bytes); };
+  handler.on_written = [this, raw] { touch(*raw); };
   // A client that closes has left. Its end of input is no different from a close, as with other proxies.
   handler.on_close = [this, raw](net::Closed) { drop(*raw); };
   raw->connection = std::make_unique<net::Connection>(loop_, std::move(fd), false, std::move(handler));
+  raw->place = clients_.size();
   clients_.push_back(std::move(client));
   wait(*raw, kHeadTime);
 }
@@ -78,7 +82,14 @@
   client.timeout = deadlines_.set(engine_.now() + time, [this, &client] { drop(client); });
 }
 
+// As at the platform's front: the turn's end costs nothing for connections that nothing happened on.
+void HttpFront::touch(Client& client) {
+  if (std::exchange(client.touched, true)) return;
+  touched_.push_back(&client);
+}
+
 std::ptrdiff_t HttpFront::take(Client& client, std::string_view bytes) {
+  touch(client);
   if (client.ending) return static_cast<std::ptrdiff_t>(bytes.size());
   if (client.dead || client.ticket) {
     if (bytes.size() > kInputMost) client.connection->pause_reading(true);
@@ -176,6 +187,7 @@
   a.etag = answer.verdict == core::Verdict::served ? answer.tag : std::string_view();
   a.keep_alive = client.keep_alive = client.keep_alive && !leaving_;
   client.connection->write(http::response_head(a), client.head ? std::string_view() : answer.body);
+  touch(client);
   client.ending = !a.keep_alive;
   wait(client, client.connection->unwritten() ? kWriteTime : kIdle);
 }
@@ -183,6 +195,7 @@
 void HttpFront::drop(Client& client) {
   if (client.dead) return;
   client.dead = true;
+  touch(client);
   deadlines_.clear(client.timeout);
   client.connection->close();
   if (!client.ticket) return;
@@ -190,19 +203,29 @@
   engine_.withdraw(client.ticket);
 }
 
+void HttpFront::settle(Client& c) {
+  if (c.dead) return;
+  c.connection->end_turn();
+  while (!c.dead && !c.ticket && !c.ending && c.connection->feed_again()) c.connection->end_turn();
+  if (c.dead) return;
+  if (!c.ticket) c.connection->pause_reading(false);
+  if (!c.ending || c.finished || c.connection->unwritten() > 0) return;
+  c.finished = true;
+  c.connection->finish();
+  wait(c, kLinger);
+}
+
 void HttpFront::end_turn() {
-  for (auto& c : clients_) {
-    if (c->dead) continue;
-    c->connection->end_turn();
-    while (!c->dead && !c->ticket && !c->ending && c->connection->feed_again()) c->connection->end_turn();
-    if (c->dead) continue;
-    if (!c->ticket) c->connection->pause_reading(false);
-    if (!c->ending || c->finished || c->connection->unwritten() > 0) continue;
-    c->finished = true;
-    c->connection->finish();
-    wait(*c, kLinger);
+  for (std::size_t i = 0; i < touched_.size(); ++i) settle(*touched_[i]);
+  const auto touched = std::exchange(touched_, {});
+  for (Client* c : touched) {
+    c->touched = false;
+    if (!c->dead) continue;
+    const std::size_t place = c->place;
+    std::swap(clients_[place], clients_.back());
+    clients_[place]->place = place;
+    clients_.pop_back();
   }
-  std::erase_if(clients_, [](auto& c) { return c->dead; });
 }
 
 bool HttpFront::idle() const {
--- a/src/signed/http_front.h
+++ b/src/signed/http_front.h
@@ -35,6 +35,8 @@
   void ask(Client& client, const http::Request& request);
   void respond(Client& client, int status, const core::Answer& answer = {});
   void drop(Client& client);
+  void touch(Client& client);
+  void settle(Client& client);
   void wait(Client& client, core::Time time);
 
   net::Loop& loop_;
@@ -47,7 +49,8 @@
   std::uint64_t random_;
   bool leaving_ = false;
   std::size_t most_clients_;
-  std::vector<std::unique_ptr<Client>> clients_;
+  std::vector<std::unique_ptr<Client>> clients_;  // in no order; each knows its place
+  std::vector<Client*> touched_;                  // of this turn, each once
   std::unordered_map<core::Ticket, Client*> asked_;
   net::Listener listener_;
 };
