Membership: lists of servers read whole or not at all, checked, merged, damped, stepped

The list of servers came from the board only, late and in pieces. src/membership reads lists written as TOML, in one file with a count or as a manifest with XXH3 digests of its pieces; refuses with file, line and what to do; merges board and files, the more careful field by field; moves weights by bounded steps; counts whoever returns or moves as cold; holds out servers that flap (RFC 2439), never the last of a place; and takes a large change in parts, its departures first. It does no I/O. src/form reads TOML with findings instead of exceptions. Found by the properties: toml++ 3.3 ends the program on some malformed keys by an assertion, and takes the same condition for granted under NDEBUG; its assertions are exceptions now. Measured: a list cut at any of its bytes is refused or means the same; 4,500 random texts and 4,500 random histories of 30 edits hold the properties. Not yet linked by a program.

--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -184,12 +184,6 @@
   return {std::move(settings), read_names(j)};
 }
 
-al::ServerId server_id(std::string_view name) {
-  std::uint64_t hash = 0xcbf29ce484222325ULL;
-  for (const char c : name) hash = (hash ^ static_cast<unsigned char>(c)) * 0x100000001b3ULL;
-  return {hash};
-}
-
 std::optional<Notice> read_notice(std::string_view line, const Names& names) {
   const auto j = parse(line);
   if (j.IsUint64()) {
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "alderspur/router.h"
+#include "membership/member.h"
 
 namespace alderspur::config {
 
@@ -24,10 +25,7 @@
   std::vector<std::string> report_fields;
   int parent_kind = -1, origin_kind = -1;
 };
-struct Member {
-  alderspur::Server server;
-  std::string name, address;
-};
+using membership::Member;
 struct Notice {
   struct Flush {
     std::optional<std::uint64_t> object;
@@ -85,7 +83,6 @@
 Config read_file(const std::string& path);
 // Empty if the line is no notice that this version understands.
 std::optional<Notice> read_notice(std::string_view line, const Names& names);
-// The same id gives the same number at every router: rendezvous hashes must agree.
-alderspur::ServerId server_id(std::string_view name);
+using membership::server_id;
 
 }  // namespace alderspur::config
--- /dev/null
+++ b/src/membership/merge.cpp
@@ -0,0 +1,79 @@
+#include "membership/merge.h"
+
+#include <algorithm>
+
+namespace alderspur::membership {
+namespace {
+
+int care(Status s) { return s == Status::ready ? 0 : s == Status::draining ? 1 : 2; }
+
+Merged alone(const Member& m, bool board) {
+  Merged out{m, Reason::as_told};
+  if (m.server.status == Status::draining) out.reason = board ? Reason::board_drains : Reason::files_drain;
+  return out;
+}
+bool agree(const Member& a, const Member& b) {
+  const Server &x = a.server, &y = b.server;
+  return x.role == y.role && x.location == y.location && x.cell == y.cell && a.address == b.address;
+}
+
+}  // namespace
+
+const char* word(Authority a) {
+  return a == Authority::board ? "board" : a == Authority::files ? "files" : "both";
+}
+const char* word(Reason r) {
+  switch (r) {
+    case Reason::as_told:
+      return "as told";
+    case Reason::weight_lower:
+      return "the lower of two weights";
+    case Reason::board_drains:
+      return "the board says draining";
+    case Reason::files_drain:
+      return "the files say draining";
+    case Reason::places_differ:
+      return "board and files tell different roles, places, cells or addresses";
+    case Reason::not_on_board:
+      return "the board does not list it";
+    case Reason::not_in_files:
+      return "the files do not list it";
+    case Reason::flapping:
+      return "it came and went too often";
+  }
+  return "";
+}
+
+std::optional<Merged> merge(Authority authority, const Voices& v) {
+  const bool board = authority != Authority::files && v.board_spoke;
+  const bool files = authority != Authority::board && v.files_spoke;
+  const Member* b = board ? v.board : nullptr;
+  const Member* f = files ? v.files : nullptr;
+  if (!b && !f) return {};
+  if (!board || !files) return alone(b ? *b : *f, b != nullptr);
+  if (!b || !f) {
+    Merged out{b ? *b : *f, b ? Reason::not_in_files : Reason::not_on_board};
+    out.member.server.status = Status::gone;
+    return out;
+  }
+  Merged out{*f, Reason::as_told};
+  Server& s = out.member.server;
+  if (!agree(*b, *f)) {
+    // Danger: with two addresses one of them is another machine's; with two places a cold budget is wrong.
+    // What says "gone" of itself needs no agreement.
+    s.status = Status::gone;
+    out.reason = Reason::places_differ;
+  }
+  s.status = care(b->server.status) > care(s.status) ? b->server.status : s.status;
+  s.born = std::max(s.born, b->server.born);
+  if (b->server.weight != s.weight) {
+    s.weight = std::min(s.weight, b->server.weight);
+    out.reason = std::max(out.reason, Reason::weight_lower);
+  }
+  if (out.reason == Reason::places_differ) return out;
+  if (f->server.status == Status::draining) out.reason = Reason::files_drain;
+  else if (b->server.status == Status::draining) out.reason = Reason::board_drains;
+  return out;
+}
+
+}  // namespace alderspur::membership
--- /dev/null
+++ b/src/membership/snapshot.h
@@ -0,0 +1,87 @@
+// A list of servers, taken whole: what one generation of the watched files says.
+//
+// A Snapshot never changes once it is made and is passed about by shared_ptr<const Snapshot>: the loop swaps
+// one pointer, and readers on other threads keep theirs. `servers` is sorted by ServerId, and lookups cost
+// the logarithm of the list's length. No I/O. Weights are in the unit of Server::weight.
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "core/deadlines.h"
+#include "membership/member.h"
+
+namespace alderspur::membership {
+
+enum class State : std::uint8_t { in_service, draining };
+
+struct Listed {
+  ServerId id{};
+  std::string name, address;
+  Role role = Role::cache;
+  std::uint32_t place = 0;  // caches: in points; parents and origins: in hubs
+  State state = State::in_service;
+  std::uint32_t cell = 0;
+  double weight = 1;
+  std::uint32_t line = 0, piece = 0;  // where it stands; no part of what it means
+
+  bool same(const Listed& o) const {
+    return id == o.id && name == o.name && address == o.address && role == o.role && place == o.place &&
+           state == o.state && cell == o.cell && weight == o.weight;
+  }
+};
+struct Point {
+  std::string name;
+  std::uint32_t hub = 0;
+  bool operator==(const Point&) const = default;
+};
+
+struct Snapshot {
+  std::uint64_t generation = 0;
+  std::uint64_t confirm = 0;  // the generation whose large removals are meant, 0: none
+  std::string source;         // a path
+  std::vector<std::string> pieces;
+  core::Time taken = 0;      // Unix microseconds at which it was read; not a part of its meaning
+  std::uint64_t digest = 0;  // XXH3 of what it means: the same list in another order has the same
+  std::vector<std::string> hubs;
+  std::vector<Point> points;
+  std::vector<Listed> servers;
+
+  const Listed* find(ServerId id) const;
+  const std::string& place_name(const Listed& s) const {
+    return s.role == Role::cache ? points[s.place].name : hubs[s.place];
+  }
+  const std::string& file_of(const Listed& s) const {
+    return s.piece < pieces.size() ? pieces[s.piece] : source;
+  }
+  // Sorts and computes the digest; once, by whoever made it.
+  void seal();
+};
+using SnapshotPtr = std::shared_ptr<const Snapshot>;
+
+// What of one snapshot differs from another, by meaning. Ids; the removed ones are looked up in `from`.
+struct Difference {
+  std::vector<ServerId> added, removed, drained, returned, moved, weighted, other;
+  bool places = false;  // points or hubs
+  bool empty() const {
+    return added.empty() && removed.empty() && drained.empty() && returned.empty() && moved.empty() &&
+           weighted.empty() && other.empty() && !places;
+  }
+  std::size_t size() const {
+    return added.size() + removed.size() + drained.size() + returned.size() + moved.size() + weighted.size() +
+           other.size();
+  }
+};
+// A null `from` stands for the empty list. A server that differs in several ways is named under the first of
+// removed, drained, moved, other, returned, weighted that holds.
+Difference difference(const Snapshot* from, const Snapshot& to);
+// "generation 7 to 8: 2 added, 1 drained, 3 weights"
+std::string summary(const Snapshot* from, const Snapshot& to, const Difference& difference);
+
+const char* word(Role role);
+const char* word(State state);
+
+}  // namespace alderspur::membership
