The alderspur program: commands, TOML settings, logs, and servers from watched files

Installations of our own need the list of servers whole, checked and soon. `alderspur run` takes it from a watched file or a directory with a manifest: inotify through the loop with a slow poll beside it, two equal looks before a read, reading and judging on a worker, the difference applied on the loop, the last good list kept on disk. `check`, `diff`, `seal`, `state` and `version` stand beside it (CLI11); settings are one TOML file with a section a subsystem, every mistake with its line and what to do (toml++); logs are records on spdlog, bounded by kind, with secrets blotted out. Both programs are built round platform::Node.

--- a/example/toy_box.py
+++ b/example/toy_box.py
@@ -2,7 +2,7 @@
 """Two toy caches, a toy origin and a toy notice board in one process, on loopback.
 
   toy_box.py                fixed ports, as example/config.json names them
-  toy_box.py --free DIR     free ports; writes DIR/config.json with them, the router's own included
+  toy_box.py --free DIR     free ports; writes DIR/config.json and DIR/servers.toml with them
 """
 import asyncio
 import json
@@ -53,11 +53,17 @@
     kept = []
     config["board"], server = await listen(board, "board", config["board"])
     kept.append(server)
+    with open(os.path.join(HERE, "servers.toml"), encoding="utf-8") as f:
+        servers = f.read()
     for member in config["known"]["notices"][0]["pool"]["members"]:
-        member["host_port"], server = await listen(box, member["id"], member["host_port"])
+        before = member["host_port"]
+        member["host_port"], server = await listen(box, member["id"], before)
+        servers = servers.replace(before, member["host_port"])
         kept.append(server)
     if free:
         config["listen"] = "127.0.0.1:0"
+        with open(os.path.join(sys.argv[2], "servers.toml"), "w", encoding="utf-8") as f:
+            f.write(servers)
         path = os.path.join(sys.argv[2], "config.json")
         with open(path + ".part", "w", encoding="utf-8") as f:
             json.dump(config, f)
--- /dev/null
+++ b/src/app/commands.h
@@ -0,0 +1,28 @@
+// The subcommands of `alderspur`, one function each. Exit codes: 0 yes, 1 a finding, 2 usage.
+#pragma once
+
+#include <string>
+#include <vector>
+
+namespace alderspur::app {
+
+constexpr int kYes = 0, kFinding = 1, kUsage = 2;
+
+// The router with everything that the settings file switches on, until SIGTERM.
+int run(const std::string& settings_file);
+
+struct CheckOptions {
+  std::vector<std::string> files;
+  std::string against;  // a list that counts as in force
+  bool json = false;
+};
+// Says of each file (settings, a list of servers, a directory with a manifest) what is wrong with it.
+int check(const CheckOptions& options);
+// What changes between two lists, by meaning.
+int diff(const std::string& from, const std::string& to, bool json);
+// Writes the digest into a list's first line, or those of the pieces into a directory's manifest.
+int seal(const std::string& path);
+// What the state directory holds: generation, age, servers and what is remembered of them.
+int state(const std::string& folder, bool json);
+
+}  // namespace alderspur::app
--- /dev/null
+++ b/src/app/keeper.cpp
@@ -0,0 +1,301 @@
+#include "app/keeper.h"
+
+#include <filesystem>
+#include <limits>
+#include <mutex>
+#include <utility>
+
+#include "membership/check.h"
+#include "membership/list.h"
+#include "store/membership_state.h"
+
+namespace alderspur::app {
+namespace {
+
+constexpr core::Time kFirst = 2'000'000, kSaveEvery = 1'000'000;
+constexpr const char* kName = "membership";
+
+std::string state_path(const std::string& folder) { return folder + "/membership.state"; }
+
+std::vector<std::string> piece_names(const std::string& manifest, const membership::Limits& limits) {
+  form::Findings ignored;  // judged with the rest, once all has settled
+  std::vector<std::string> out;
+  for (const auto& p : membership::read_list(manifest, "manifest.toml", 0, limits, ignored).pieces)
+    out.push_back(p.file);
+  return out;
+}
+
+}  // namespace
+
+// What the worker judges by. The list in force is written by the loop only, between two looks.
+struct Keeper::Shared {
+  settings::Membership settings;
+  std::vector<std::string> zones;
+  membership::SnapshotPtr in_force() const {
+    const std::lock_guard lock(mutex);
+    return list;
+  }
+  void bring(membership::SnapshotPtr next) {
+    const std::lock_guard lock(mutex);
+    list = std::move(next);
+  }
+  mutable std::mutex mutex;
+  membership::SnapshotPtr list;  // guarded by mutex
+};
+struct Keeper::Judged {
+  std::optional<membership::Offer> offer;
+  bool unchanged = false;
+  std::string refusal;  // the first finding
+  std::size_t findings = 0;
+  core::Time took = 0;
+};
+
+Keeper::Keeper(platform::Node& node, const settings::Membership& settings, log::Log& log)
+    : node_(node),
+      settings_(settings),
+      log_(log),
+      fleet_(settings.fleet),
+      shared_(std::make_shared<Shared>()),
+      wakeup_(node.loop()) {
+  shared_->settings = settings;
+  shared_->zones = node.config().names.zones;
+  const core::Time now = node_.engine().now();
+  if (!settings_.list.empty()) {
+    watch::WatchSettings w{settings_.list, settings_.settle, settings_.poll, settings_.limits.bytes};
+    watcher_ = std::make_unique<watch::Watcher>(
+        node_.loop(), node_.deadlines(), wakeup_, reader_, w,
+        [limits = settings_.limits](const std::string& text) { return piece_names(text, limits); },
+        [this, shared = shared_](watch::Look&& look) -> watch::Apply {
+          return
+              [this, judged = std::make_shared<Judged>(judge(*shared, std::move(look)))] { take(*judged); };
+        });
+  }
+  begin(now);
+}
+Keeper::~Keeper() {
+  if (step_) node_.deadlines().clear(*step_);
+  if (save_) node_.deadlines().clear(*save_);
+}
+
+// What an earlier process had in force counts as in force: a list may not go back behind it, and whoever is
+// new against it is cold.
+std::optional<membership::Offer> Keeper::begin_with_state(core::Time now) {
+  if (settings_.state.empty()) return {};
+  std::error_code ignored;
+  std::filesystem::create_directories(settings_.state, ignored);
+  auto restored = store::load(state_path(settings_.state));
+  if (!restored.state) {
+    if (!restored.absent)
+      log_.record(kName, log::Level::warning, "state_unusable", {{"reason", restored.error}});
+    return {};
+  }
+  membership::Offer offer{restored.state->list, nullptr, difference(nullptr, *restored.state->list), {}, {}};
+  form::Findings findings;
+  zones_of(*offer.list, shared_->zones, offer.point_zones, offer.hub_zones, findings);
+  check_alone(*offer.list, findings);
+  if (!findings.good()) {
+    log_.record(kName, log::Level::warning, "state_unusable",
+                {{"reason", form::to_string(findings.list()[0])}});
+    return {};
+  }
+  fleet_.restore(restored.state->remembered);
+  fleet_.files(offer, now);
+  return offer;
+}
+
+void Keeper::begin(core::Time now) {
+  if (!watcher_) return;
+  const auto kept = begin_with_state(now);
+  shared_->bring(fleet_.in_force());
+  const auto look = watcher_->first(kFirst);
+  Judged judged;
+  if (look) judged = judge(*shared_, watch::Look(*look));
+  else judged.refusal = settings_.list + " has not settled";
+  if (judged.offer || judged.unchanged) {
+    take(judged);
+  } else if (kept) {
+    take(judged);  // says what is wrong with the files
+    const core::Time age = now - kept->list->taken;
+    if (age > settings_.oldest)
+      throw config::Error("no usable list of servers: " + judged.refusal + "; the last good one is " +
+                          std::to_string(age / 1'000'000) + " s old, over the bound of " +
+                          std::to_string(settings_.oldest / 1'000'000) + " s");
+    log_.record(kName, log::Level::warning, "started_from_state",
+                {{"generation", kept->list->generation}, {"age_s", age / 1'000'000}});
+    push();
+  } else if (settings_.fleet.authority == membership::Authority::files) {
+    throw config::Error("no usable list of servers: " + judged.refusal);
+  } else {
+    take(judged);
+  }
+  serving_ = true;
+}
+
+Keeper::Judged Keeper::judge(const Shared& shared, watch::Look&& look) {
+  Judged out;
+  const core::Time begun = net::unix_now();
+  if (look.sight == watch::Sight::unreadable) {
+    out.refusal = look.error;
+    return out;
+  }
+  form::Findings findings;
+  const auto& s = shared.settings;
+  auto read = membership::read_list(look.texts.text, look.texts.file, begun, s.limits, findings);
+  membership::SnapshotPtr list = read.list;
+  if (list && look.texts.directory)
+    list = membership::read_pieces(read, look.texts.pieces, s.limits, findings);
+  else if (list && !read.pieces.empty())
+    findings.error("L004", {look.texts.file, 0, 0}, "a manifest is given by its directory",
+                   "name the directory");
+  const auto in_force = shared.in_force();
+  if (list && findings.good()) {
+    check_alone(*list, findings);
+    check_change(in_force.get(), *list, s.bounds, findings);
+  }
+  if (list && findings.good()) {
+    membership::Offer offer{list, in_force, difference(in_force.get(), *list), {}, {}};
+    zones_of(*list, shared.zones, offer.point_zones, offer.hub_zones, findings);
+    out.unchanged = in_force && in_force->generation == list->generation;
+    if (findings.good() && !out.unchanged) out.offer = std::move(offer);
+  }
+  if (!findings.good()) {
+    out.unchanged = false;
+    out.refusal = form::to_string(findings.list()[0]);
+    out.findings = findings.errors();
+  }
+  out.took = net::unix_now() - begun;
+  return out;
+}
+
+void Keeper::take(const Judged& judged) {
+  if (judged.unchanged) {
+    last_refusal_.clear();
+    return;
+  }
+  if (!judged.offer) {
+    ++counters_.refused;
+    if (judged.refusal == last_refusal_) return;  // told already
+    last_refusal_ = judged.refusal;
+    const auto& in_force = fleet_.in_force();
+    log_.record(kName, log::Level::error, "list_refused",
+                {{"reason", judged.refusal},
+                 {"findings", judged.findings},
+                 {"in_force", in_force ? in_force->generation : 0}});
+    return;
+  }
+  const core::Time begun = net::unix_now();
+  const auto before = fleet_.in_force();
+  if (!fleet_.files(*judged.offer, node_.engine().now())) {
+    watcher_->look_now();  // something else came into force meanwhile: judge it again
+    return;
+  }
+  shared_->bring(fleet_.in_force());
+  last_refusal_.clear();
+  ++counters_.taken;
+  push();
+  const core::Time held = net::unix_now() - begun;
+  counters_.longest_apply = std::max(counters_.longest_apply, held);
+  const auto& list = *judged.offer->list;
+  log_.record(kName, log::Level::info, "list_taken",
+              {{"generation", list.generation},
+               {"servers", list.servers.size()},
+               {"change", membership::summary(before.get(), list, judged.offer->change)},
+               {"judged_us", judged.took},
+               {"held_us", held}});
+  save_soon();
+}
+
+void Keeper::pool(bool complete, const std::vector<config::Member>& members) {
+  if (settings_.fleet.authority == membership::Authority::files) return;
+  fleet_.board(complete, members, node_.engine().now());
+  push();
+}
+
+// Connections hear of a server before the core does, and departures come before whoever takes their place.
+void Keeper::push() {
+  auto changes = fleet_.take();
+  FleetUpdate update;
+  update.servers.reserve(changes.size());
+  for (const auto& c : changes) {
+    node_.caches().update(c.member);
+    update.servers.push_back(c.member.server);
+    if (!serving_ || !log_.enabled(kName, log::Level::debug)) continue;
+    log_.record(kName, log::Level::debug, "server",
+                {{"id", c.member.name},
+                 {"status", c.member.server.status == Status::ready      ? "ready"
+                            : c.member.server.status == Status::draining ? "draining"
+                                                                         : "gone"},
+                 {"weight", c.member.server.weight},
+                 {"why", membership::word(c.reason)}});
+  }
+  if (!update.servers.empty()) {
+    node_.engine().fleet(std::move(update));
+    save_soon();
+  }
+  arm();
+}
+
+void Keeper::arm() {
+  const core::Time next = fleet_.next();
+  if (step_ && step_at_ <= next) return;
+  if (step_) node_.deadlines().clear(*step_), step_.reset();
+  if (next == std::numeric_limits<core::Time>::max()) return;
+  step_at_ = next;
+  step_ = node_.deadlines().set(next, [this] {
+    step_.reset();
+    fleet_.advance(node_.engine().now());
+    push();
+  });
+}
+
+void Keeper::start() {
+  if (watcher_) watcher_->start();
+  save_soon();
+}
+void Keeper::look() {
+  if (watcher_) watcher_->look_now();
+}
+
+void Keeper::save_soon() {
+  if (settings_.state.empty() || save_ || saving_) return;
+  save_ = node_.deadlines().set(net::unix_now() + kSaveEvery, [this] {
+    save_.reset();
+    save();
+  });
+}
+
+void Keeper::save() {
+  if (saving_ || !fleet_.in_force()) return;
+  const core::Time now = net::unix_now();
+  store::MembershipState state{fleet_.in_force(), fleet_.remembered(now), now};
+  saving_ = writer_.submit([this, state = std::move(state), path = state_path(settings_.state)] {
+    const auto error = store::save(path, state);
+    wakeup_.post([this, error] {
+      saving_ = false;
+      ++(error.empty() ? counters_.saved : counters_.save_failed);
+      if (!error.empty()) log_.record(kName, log::Level::error, "state_not_saved", {{"reason", error}});
+    });
+  });
+}
+
+void Keeper::finish() {
+  if (settings_.state.empty()) return;
+  writer_.drain();
+  saving_ = false;
+  save();
+  writer_.drain();
+}
+
+std::string Keeper::summary() const {
+  const auto& c = fleet_.counters();
+  const auto& list = fleet_.in_force();
+  return "generation " + std::to_string(list ? list->generation : 0) + ", known " +
+         std::to_string(fleet_.known()) + " ready " + std::to_string(fleet_.ready()) + "; lists taken " +
+         std::to_string(counters_.taken) + " refused " + std::to_string(counters_.refused) + ", changes " +
+         std::to_string(c.changes) + " departures " + std::to_string(c.departures) + " weight steps " +
+         std::to_string(c.weight_steps) + " held out " + std::to_string(c.held_out) + " let back " +
+         std::to_string(c.let_back) + ", saved " + std::to_string(counters_.saved) + ", longest hold us " +
+         std::to_string(counters_.longest_apply);
+}
+
+}  // namespace alderspur::app
--- /dev/null
+++ b/src/app/keeper.h
@@ -0,0 +1,72 @@
+// Membership in service: watched files and the board on one side, connections and core on the other, the last
+// good state on disk between one process and the next.
+//
+// The loop's thread owns the Fleet and applies what changes; a worker reads, parses, checks and reckons the
+// difference against the list in force, and another writes the state. Where a list is refused, the one in
+// force stays, and the refusal is told once for each content.
+#pragma once
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "log/log.h"
+#include "membership/fleet.h"
+#include "net/wakeup.h"
+#include "platform/node.h"
+#include "settings/settings.h"
+#include "watch/watcher.h"
+#include "watch/worker.h"
+
+namespace alderspur::app {
+
+struct KeeperCounters {
+  std::uint64_t taken = 0, refused = 0, unreadable = 0, saved = 0, save_failed = 0;
+  core::Time longest_apply = 0;  // microseconds that the loop was held by one list
+};
+
+class Keeper : public platform::PoolSink {
+ public:
+  // Chooses the list to start from: the files', else the last good state. Throws config::Error where
+  // authority needs files and there is neither.
+  Keeper(platform::Node& node, const settings::Membership& settings, log::Log& log);
+  ~Keeper() override;
+
+  void pool(bool complete, const std::vector<config::Member>& members) override;
+  void start();   // watching; once the node is complete
+  void look();    // SIGHUP
+  void finish();  // writes the state, waits for it
+  std::string summary() const;
+  const KeeperCounters& counters() const { return counters_; }
+  const membership::Fleet& fleet() const { return fleet_; }
+
+ private:
+  struct Judged;
+  struct Shared;
+  std::optional<membership::Offer> begin_with_state(core::Time now);
+  void begin(core::Time now);
+  static Judged judge(const Shared& shared, watch::Look&& look);
+  void take(const Judged& judged);
+  void push();
+  void arm();
+  void save_soon();
+  void save();
+
+  platform::Node& node_;
+  const settings::Membership settings_;
+  log::Log& log_;
+  membership::Fleet fleet_;
+  std::shared_ptr<Shared> shared_;
+  std::optional<core::Deadlines::Key> step_, save_;
+  core::Time step_at_ = 0;
+  std::string last_refusal_;
+  bool saving_ = false, serving_ = false;
+  KeeperCounters counters_;
+  // Last, so that they end first: their jobs use what stands above.
+  net::Wakeup wakeup_;
+  watch::Worker reader_, writer_;
+  std::unique_ptr<watch::Watcher> watcher_;
+};
+
+}  // namespace alderspur::app
--- /dev/null
+++ b/src/app/main.cpp
@@ -0,0 +1,62 @@
+// alderspur: the product's program. Every subsystem adds its subcommand here; docs/alderspur.1.md lists them.
+#include <CLI/CLI.hpp>
+#include <cstdio>
+#include <string>
+
+#include "app/commands.h"
+
+int main(int argc, char** argv) {
+  using namespace alderspur::app;
+  CLI::App cli("Routes requests to tiers of caches, by one decision module.");
+  cli.require_subcommand(1);
+  cli.footer("Exit codes: 0 yes, 1 a finding, 2 usage.");
+  int code = kYes;
+
+  std::string settings;
+  auto* run_command = cli.add_subcommand("run", "Run the router with everything that the settings switch on");
+  run_command->add_option("--settings", settings, "the settings file (TOML)")->required();
+  run_command->footer("Example: alderspur run --settings deploy/alderspur.toml");
+  run_command->callback([&] { code = run(settings); });
+
+  CheckOptions options;
+  auto* check_command = cli.add_subcommand("check", "Say what is wrong with settings and lists of servers");
+  check_command->add_option("FILE", options.files, "settings, lists, or directories with a manifest")
+      ->required();
+  check_command->add_option("--against", options.against, "a list that counts as the one in force");
+  check_command->add_flag("--json", options.json, "findings as JSON");
+  check_command->footer("Example: alderspur check --against servers.toml servers.next.toml");
+  check_command->callback([&] { code = check(options); });
+
+  std::string from, to;
+  bool json = false;
+  auto* diff_command =
+      cli.add_subcommand("diff", "Say what changes between two lists of servers, by meaning");
+  diff_command->add_option("OLD", from)->required();
+  diff_command->add_option("NEW", to)->required();
+  diff_command->add_flag("--json", json, "ids as JSON");
+  diff_command->footer(
+      "Exit code 0: they mean the same. Example: alderspur diff servers.toml servers.next.toml");
+  diff_command->callback([&] { code = diff(from, to, json); });
+
+  std::string path;
+  auto* seal_command =
+      cli.add_subcommand("seal", "Write the digests into a list, or into a directory's manifest");
+  seal_command->add_option("PATH", path)->required();
+  seal_command->footer("Example: alderspur seal servers.d");
+  seal_command->callback([&] { code = seal(path); });
+
+  std::string folder;
+  auto* state_command = cli.add_subcommand("state", "Say what a state directory holds");
+  state_command->add_option("DIRECTORY", folder)->required();
+  state_command->add_flag("--json", json, "as JSON");
+  state_command->callback([&] { code = state(folder, json); });
+
+  cli.add_subcommand("version", "Print the version")->callback([] {
+    std::puts("alderspur " ALDERSPUR_VERSION);
+  });
+
+  try {
+    cli.parse(argc, argv);
+  } catch (const CLI::ParseError& e) { return cli.exit(e) == 0 ? kYes : kUsage; }
+  return code;
+}
--- /dev/null
+++ b/src/app/run.cpp
@@ -0,0 +1,95 @@
+#include <csignal>
+#include <cstdio>
+#include <filesystem>
+#include <memory>
+
+#include "app/commands.h"
+#include "app/keeper.h"
+#include "platform/node.h"
+#include "settings/settings.h"
+#include "signed/http_front.h"
+#include "xds/server.h"
+
+namespace alderspur::app {
+namespace {
+
+constexpr std::size_t kProxiesMost = 32;
+
+int refuse(const form::Findings& findings) {
+  for (const auto& f : findings.list()) std::fprintf(stderr, "%s\n", form::to_string(f).c_str());
+  return kFinding;
+}
+
+void serve(const settings::Settings& settings, config::Config config, log::Log& log) {
+  const auto say = [&log](const std::string& event, const std::string& text) {
+    log.record("router", log::Level::info, event, {{"text", text}});
+  };
+  Keeper* keeper = nullptr;
+  platform::Node::MakeSink make_sink;
+  if (settings.membership)
+    make_sink = [&](platform::Node& node) {
+      auto made = std::make_unique<Keeper>(node, *settings.membership, log);
+      keeper = made.get();
+      return made;
+    };
+  platform::Node node(std::move(config), say, make_sink);
+  node.config_path = settings.config;
+  std::unique_ptr<signed_urls::HttpFront> links;
+  if (settings.links) {
+    links = std::make_unique<signed_urls::HttpFront>(node.loop(), node.deadlines(), node.engine(),
+                                                     node.config(), *settings.links, net::unix_now);
+    node.add({[&] { links->end_turn(); }, [&] { links->begin_leaving(), links->stop_listening(); },
+              [&] { return links->idle(); }});
+    log.record("signed", log::Level::info, "listening", {{"address", net::to_string(links->address())}});
+  }
+  std::unique_ptr<xds::Server> discovery;
+  if (settings.xds) {
+    discovery = std::make_unique<xds::Server>(node.loop(), node.deadlines(), node.engine(), node.caches(),
+                                              *settings.xds, kProxiesMost);
+    node.add({[&] { discovery->end_turn(); }, [&] { discovery->stop_listening(); }, {}});
+    log.record("xds", log::Level::info, "listening", {{"address", net::to_string(discovery->address())}});
+  }
+  if (keeper) {
+    keeper->start();
+    node.on_reload([&] { keeper->look(); });
+  }
+  node.loop().on_signal(SIGUSR1, [&] {
+    if (keeper) log.record("membership", log::Level::info, "standing", {{"text", keeper->summary()}});
+    log.flush();
+  });
+  node.run();
+  if (keeper) {
+    keeper->finish();
+    log.record("membership", log::Level::info, "standing", {{"text", keeper->summary()}});
+  }
+}
+
+}  // namespace
+
+int run(const std::string& file) {
+  std::signal(SIGPIPE, SIG_IGN);
+  std::signal(SIGHUP, SIG_IGN);  // until the loop watches for it
+  try {
+    form::Findings findings;
+    const auto folder = std::filesystem::path(file).parent_path().string();
+    auto settings = settings::read(config::read_text(file), file, folder, findings);
+    if (!findings.good()) return refuse(findings);
+    auto config = config::read_file(settings.config);
+    if (!settings.listen.empty()) config.listen = settings.listen;
+    settings::resolve(settings, config, findings);
+    if (!findings.good()) return refuse(findings);
+    log::Log log(settings.log);
+    try {
+      serve(settings, std::move(config), log);
+    } catch (const std::exception& e) {
+      log.record("router", log::Level::error, "cannot_start", {{"reason", e.what()}});
+      return kFinding;
+    }
+    return kYes;
+  } catch (const std::exception& e) {
+    std::fprintf(stderr, "alderspur: %s\n", e.what());
+    return kFinding;
+  }
+}
+
+}  // namespace alderspur::app
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -222,50 +222,6 @@
   return c;
 }
 
-Signed read_signed(std::string_view text, const Config& config) {
-  const auto j = parse(text);
-  if (!j.IsObject()) throw Error("the signed front's file is not a JSON object");
-  Signed s;
-  s.enabled = flag(at(j, "enabled"));
-  if (!s.enabled) return s;
-  s.listen = word(at(j, "listen"));
-  if (const auto cookie = word(at(j, "cookie")); !cookie.empty()) s.cookie = cookie;
-  s.skew_s = static_cast<std::int64_t>(std::clamp(real(at(j, "skew_s"), 5), 0.0, 300.0));
-  const Json& keys = at(j, "keys");
-  for (std::size_t i = 0; keys.IsArray() && i < keys.Size(); ++i) {
-    const Json& k = item(keys, i);
-    s.keys.push_back({word(at(k, "id")), word(at(k, "secret")),
-                      static_cast<std::int64_t>(std::clamp(real(at(k, "until")), 0.0, 1e12))});
-    if (s.keys.back().id.empty()) throw Error("a key of the signed front has no id");
-    if (s.keys.back().secret.size() < 16)
-      throw Error("the secret of key " + s.keys.back().id + " has under 16 characters");
-  }
-  if (s.keys.empty()) throw Error("the signed front is on but has no keys");
-  const Json& routes = at(j, "routes");
-  for (std::size_t i = 0; routes.IsArray() && i < routes.Size(); ++i) {
-    const Json& r = item(routes, i);
-    Signed::Route route{word(at(r, "prefix")), place(at(r, "class"), config.names.classes), 0};
-    if (route.cls >= config.names.classes.size() || config.settings.classes[route.cls].uncached)
-      throw Error("a route of the signed front names no class of kept objects");
-    if (!route.prefix.starts_with('/') || !route.prefix.ends_with('/'))
-      throw Error("a route's prefix must begin and end with a slash");
-    route.limit = micros(at(r, "limit_ms")) * 1000;
-    if (route.limit <= 0) route.limit = config.names.give_up[route.cls];
-    if (route.limit <= 0) route.limit = 2'500'000;
-    s.routes.push_back(std::move(route));
-  }
-  if (s.routes.empty()) throw Error("the signed front is on but has no routes");
-  return s;
-}
-
-Xds read_xds(std::string_view text) {
-  const auto j = parse(text);
-  if (!j.IsObject()) throw Error("the xDS file is not a JSON object");
-  Xds x{flag(at(j, "enabled")), word(at(j, "listen")), word(at(j, "cluster"))};
-  if (x.enabled && x.cluster.empty()) throw Error("the xDS server is on but names no cluster");
-  return x;
-}
-
 std::string read_text(const std::string& path) {
   std::ifstream in(path, std::ios::binary);
   std::ostringstream text;
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -50,7 +50,7 @@
   std::vector<Notice> notices;
 };
 
-// The signed front's own file.
+// The signed front, as src/settings reads it.
 struct Signed {
   struct Key {
     std::string id, secret;
@@ -68,16 +68,14 @@
   std::vector<Route> routes;
 };
 
-// The xDS server's own file.
+// The xDS server, likewise.
 struct Xds {
   bool enabled = false;
   std::string listen, cluster;
 };
-Xds read_xds(std::string_view text);
 // The settings alone, as a router is given them, also on the simulator's wire. Throws Error.
 std::pair<alderspur::Settings, Names> read_settings(std::string_view text);
-// Throws Error with one plain line.
-Signed read_signed(std::string_view text, const Config& config);
+// These throw Error with one plain line.
 std::string read_text(const std::string& path);
 Config read(std::string_view text);
 Config read_file(const std::string& path);
--- a/src/core/counters.h
+++ b/src/core/counters.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstdint>
+#include <string>
 
 namespace alderspur::core {
 
@@ -16,4 +17,7 @@
                 too_much = 0;
 };
 
+// One line with all of them.
+std::string text(const Counters& counters);
+
 }  // namespace alderspur::core
--- a/src/platform/board.cpp
+++ b/src/platform/board.cpp
@@ -12,9 +12,20 @@
 
 }  // namespace
 
-Board::Board(net::Loop& loop, core::Deadlines& deadlines, core::Engine& engine, Caches& caches,
+void DirectPool::pool(bool complete, const std::vector<config::Member>& members) {
+  if (complete) caches_.only(members);
+  al::FleetUpdate update;
+  update.full = complete;
+  for (const auto& m : members) {
+    caches_.update(m);
+    update.servers.push_back(m.server);
+  }
+  engine_.fleet(std::move(update));
+}
+
+Board::Board(net::Loop& loop, core::Deadlines& deadlines, core::Engine& engine, PoolSink& sink,
              const config::Config& config)
-    : loop_(loop), deadlines_(deadlines), engine_(engine), caches_(caches), config_(config) {
+    : loop_(loop), deadlines_(deadlines), engine_(engine), sink_(sink), config_(config) {
   for (const auto& n : config.notices) apply(n);
   held_ = std::max(held_, config.known);
   ahead_.clear();
@@ -30,16 +41,7 @@
   ahead_.insert(n.number);
   while (ahead_.contains(held_ + 1)) ahead_.erase(++held_);
   if (ahead_.size() > kAheadMost) held_ = *ahead_.begin(), ahead_.erase(ahead_.begin());
-  if (n.pool) {
-    if (n.complete) caches_.only(n.members);
-    al::FleetUpdate update;
-    update.full = n.complete;
-    for (const auto& m : n.members) {
-      caches_.update(m);
-      update.servers.push_back(m.server);
-    }
-    engine_.fleet(std::move(update));
-  }
+  if (n.pool) sink_.pool(n.complete, n.members);
   if (n.flush) engine_.purge(n.flush->object, n.flush->group, n.flush->at);
 }
 
--- a/src/platform/board.h
+++ b/src/platform/board.h
@@ -5,6 +5,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "config/config.h"
 #include "core/engine.h"
@@ -13,9 +14,25 @@
 
 namespace alderspur::platform {
 
+// Who takes the board's news of servers: straight to connections and core, or through membership.
+class PoolSink {
+ public:
+  virtual ~PoolSink() = default;
+  virtual void pool(bool complete, const std::vector<config::Member>& members) = 0;
+};
+class DirectPool : public PoolSink {
+ public:
+  DirectPool(Caches& caches, core::Engine& engine) : caches_(caches), engine_(engine) {}
+  void pool(bool complete, const std::vector<config::Member>& members) override;
+
+ private:
+  Caches& caches_;
+  core::Engine& engine_;
+};
+
 class Board {
  public:
-  Board(net::Loop& loop, core::Deadlines& deadlines, core::Engine& engine, Caches& caches,
+  Board(net::Loop& loop, core::Deadlines& deadlines, core::Engine& engine, PoolSink& sink,
         const config::Config& config);
   // The settings were read anew: what they know already is taken in, and the watch moves to their board from
   // the last number held on, whatever state the old connection is in. False: they name no usable address,
@@ -34,7 +51,7 @@
   net::Loop& loop_;
   core::Deadlines& deadlines_;
   core::Engine& engine_;
-  Caches& caches_;
+  PoolSink& sink_;
   const config::Config& config_;
   sockaddr_in address_{};
   std::unique_ptr<net::Connection> connection_;
--- /dev/null
+++ b/src/platform/node.cpp
@@ -0,0 +1,84 @@
+#include "platform/node.h"
+
+#include <algorithm>
+#include <csignal>
+
+namespace alderspur::platform {
+namespace {
+
+constexpr core::Time kLinger = 700'000;  // after SIGTERM clients still come and ask for this long
+
+sockaddr_in listen_address(const std::string& text) {
+  const auto at = net::parse_address(text);
+  if (!at) throw config::Error("no usable listen address: '" + text + "'");
+  return *at;
+}
+
+}  // namespace
+
+Node::Node(config::Config config, Say say, const MakeSink& make_sink)
+    : config_(std::move(config)),
+      say_(std::move(say)),
+      loop_(deadlines_),
+      engine_(config_.settings, config_.seed, deadlines_, net::unix_now),
+      caches_(loop_, deadlines_, engine_, config_),
+      sink_(make_sink ? make_sink(*this) : std::make_unique<DirectPool>(caches_, engine_)),
+      board_(loop_, deadlines_, engine_, *sink_, config_),
+      // What is known comes before the first status.
+      front_(loop_, deadlines_, (engine_.attach(caches_), engine_.run(), engine_),
+             listen_address(config_.listen), config_) {
+  say_("platform_front", "platform clients on " + net::to_string(front_.address()));
+}
+
+// Danger: an operator's half-written file must not end a router under load. Only the board's address can
+// change while it runs; the rest describes the process itself and is named so that nobody waits for it.
+void Node::reload() {
+  try {
+    const auto renewed = config::read_file(config_path);
+    if (!board_.move(renewed)) throw config::Error("no usable board address: '" + renewed.board + "'");
+    say_("reload", "settings read anew, board at " + renewed.board);
+    if (renewed.memory_mb != config_.memory_mb || renewed.sockets != config_.sockets ||
+        renewed.names.classes != config_.names.classes)
+      say_("reload", "limits and classes have changed too: they hold from the next start");
+  } catch (const std::exception& e) {
+    say_("reload", std::string("reload: ") + e.what() + "; the settings stay as they were");
+  }
+  if (reloaded_) reloaded_();
+}
+
+void Node::say_counters() {
+  say_("counters", "open " + std::to_string(engine_.held()) + ", connections to servers " +
+                       std::to_string(caches_.links()) + "; " + core::text(engine_.counters()));
+}
+
+void Node::turn() {
+  deadlines_.sweep(engine_.now());
+  engine_.run();
+  front_.end_turn();
+  for (auto& p : parts_)
+    if (p.end_turn) p.end_turn();
+  caches_.end_turn();
+  board_.end_turn();
+  engine_.run();  // clients and servers let go of just now
+  if (!leave_at_ || engine_.now() < leave_at_ || engine_.held() > 0 || !front_.idle()) return;
+  if (std::all_of(parts_.begin(), parts_.end(), [](auto& p) { return !p.idle || p.idle(); })) loop_.stop();
+}
+
+void Node::run() {
+  loop_.on_signal(SIGTERM, [this] {
+    if (leave_at_) return;
+    leave_at_ = engine_.now() + kLinger;
+    deadlines_.set(leave_at_, [this] {
+      for (auto& p : parts_)
+        if (p.leave) p.leave();
+    });
+  });
+  loop_.on_signal(SIGHUP, [this] { reload(); });
+  loop_.on_signal(SIGINT, [this] { loop_.stop(); });
+  loop_.on_signal(SIGUSR1, [this] { say_counters(); });
+  loop_.on_turn([this] { turn(); });
+  loop_.run();
+  say_counters();
+}
+
+}  // namespace alderspur::platform
--- /dev/null
+++ b/src/platform/node.h
@@ -0,0 +1,67 @@
+// One running router: loop, core, connections to servers, board and the platform's front, wired together.
+//
+// Both programs are built round it: alderspur_edge as it is, `alderspur run` with further fronts and with
+// membership between board and core. One thread; run() returns when a planned leave is over. Throws
+// std::runtime_error from its constructor where an address is not to be had.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "config/config.h"
+#include "core/engine.h"
+#include "net/loop.h"
+#include "platform/board.h"
+#include "platform/caches.h"
+#include "platform/rpc_front.h"
+
+namespace alderspur::platform {
+
+class Node {
+ public:
+  using MakeSink = std::function<std::unique_ptr<PoolSink>(Node&)>;
+  using Say = std::function<void(const std::string& event, const std::string& text)>;
+  // What else takes part in the turns of this node.
+  struct Part {
+    std::function<void()> end_turn;
+    std::function<void()> leave;  // some time after SIGTERM: accept nothing new
+    std::function<bool()> idle;   // nothing is owed
+  };
+
+  Node(config::Config config, Say say, const MakeSink& make_sink = {});
+  void add(Part part) { parts_.push_back(std::move(part)); }
+  void on_reload(std::function<void()> then) { reloaded_ = std::move(then); }
+  void run();
+  void turn();  // of the loop, for whoever drives it by hand
+
+  const config::Config& config() const { return config_; }
+  core::Deadlines& deadlines() { return deadlines_; }
+  net::Loop& loop() { return loop_; }
+  core::Engine& engine() { return engine_; }
+  Caches& caches() { return caches_; }
+  const RpcFront& front() const { return front_; }
+
+  // Where the configuration came from, for SIGHUP; empty: it cannot be read anew.
+  std::string config_path;
+
+ private:
+  void reload();
+  void say_counters();
+
+  const config::Config config_;
+  Say say_;
+  core::Deadlines deadlines_;
+  net::Loop loop_;
+  core::Engine engine_;
+  Caches caches_;
+  std::unique_ptr<PoolSink> sink_;
+  Board board_;
+  RpcFront front_;
+  std::vector<Part> parts_;
+  std::function<void()> reloaded_;
+  core::Time leave_at_ = 0;
+};
+
+}  // namespace alderspur::platform
--- /dev/null
+++ b/src/settings/settings.cpp
@@ -0,0 +1,185 @@
+#include "settings/settings.h"
+
+#include <algorithm>
+#include <filesystem>
+
+#include "form/document.h"
+#include "net/connection.h"
+
+namespace alderspur::settings {
+namespace {
+
+constexpr core::Time kMilli = 1000, kSecond = 1'000'000, kHour = 3600 * kSecond;
+
+std::string path_in(const std::string& folder, const std::string& path) {
+  return std::filesystem::path(path).is_absolute() ? path : (std::filesystem::path(folder) / path).string();
+}
+log::Level level_of(const std::string& word) {
+  return word == "debug"     ? log::Level::debug
+         : word == "warning" ? log::Level::warning
+         : word == "error"   ? log::Level::error
+                             : log::Level::info;
+}
+void listens(form::Table& t, const std::string& address, form::Findings& findings) {
+  if (!net::parse_address(address))
+    findings.error("S002", t.place("listen"), "'" + address + "' is no address to listen on",
+                   "write numbers and a port, such as 127.0.0.1:8480");
+}
+
+void read_log(form::Table t, log::Settings& out, form::Findings& findings) {
+  const std::vector<std::string_view> levels = {"debug", "info", "warning", "error"};
+  if (const auto form = t.word("form", {"logfmt", "json"}))
+    out.form = *form == "json" ? log::Form::json : log::Form::logfmt;
+  if (const auto level = t.word("level", levels)) out.level = level_of(*level);
+  if (const auto n = t.integer("per_second", 1, 10'000)) out.per_second = static_cast<int>(*n);
+  auto by_subsystem = t.table("levels");
+  const std::vector<std::string_view> known = {"router", "membership", "signed", "xds", "settings"};
+  for (const auto& [name, level] : by_subsystem.texts()) {
+    if (std::find(levels.begin(), levels.end(), level) == levels.end())
+      findings.error("F003", by_subsystem.place(name), name + ": '" + level + "' is no level");
+    if (std::find(known.begin(), known.end(), name) == known.end()) {
+      const auto near = form::nearest(name, known);
+      findings.error(
+          "F004", by_subsystem.place(name), "no subsystem is called " + name,
+          near.empty() ? "router, membership, signed, xds, settings" : "did you mean " + near + "?");
+    }
+    out.levels[name] = level_of(level);
+  }
+  t.finish();
+}
+
+void read_damping(form::Table t, membership::DampingSettings& d, form::Findings& findings) {
+  if (const auto v = t.flag("on")) d.on = *v;
+  if (const auto v = t.real("departure", 1, 1e6)) d.departure = *v;
+  if (const auto v = t.real("suppress", 1, 1e6)) d.suppress = *v;
+  if (const auto v = t.real("reuse", 1, 1e6)) d.reuse = *v;
+  if (const auto v = t.duration("half_life", 100 * kMilli, 24 * kHour)) d.half_life = *v;
+  if (const auto v = t.duration("longest", 100 * kMilli, 24 * kHour)) d.longest = *v;
+  if (d.reuse >= d.suppress)
+    findings.error("S002", t.place("reuse"), "reuse must be lower than suppress",
+                   "a server held out at " + std::to_string(d.suppress) + " would be let back at once");
+  if (d.longest < d.half_life)
+    findings.error("S002", t.place("longest"), "longest is shorter than half_life",
+                   "no penalty could reach suppress");
+  t.finish();
+}
+
+Membership read_membership(form::Table t, const std::string& folder, form::Findings& findings) {
+  Membership m;
+  const auto authority = t.word("authority", {"board", "files", "both"}, true);
+  if (authority)
+    m.fleet.authority = *authority == "board"   ? membership::Authority::board
+                        : *authority == "files" ? membership::Authority::files
+                                                : membership::Authority::both;
+  const bool files = m.fleet.authority != membership::Authority::board;
+  if (const auto v = t.text("list", files)) m.list = path_in(folder, *v);
+  if (const auto v = t.text("state")) m.state = path_in(folder, *v);
+  if (const auto v = t.duration("oldest", kSecond, 365 * 24 * kHour)) m.oldest = *v;
+  if (const auto v = t.duration("settle", kMilli, 400 * kMilli)) m.settle = *v;
+  if (const auto v = t.duration("poll", 20 * kMilli, 3600 * kSecond)) m.poll = *v;
+  if (const auto v = t.real("most_out", 0, 1)) m.bounds.most_out = *v;
+  if (const auto v = t.real("weight_step", 1.01, 100)) m.fleet.weight_step = *v;
+  if (const auto v = t.duration("weight_every", 10 * kMilli, kHour)) m.fleet.weight_every = *v;
+  if (const auto v = t.size("most_bytes", 1024, 16 << 20)) m.limits.bytes = static_cast<std::size_t>(*v);
+  if (const auto v = t.integer("most_servers", 1, 100'000)) m.limits.servers = static_cast<std::size_t>(*v);
+  if (const auto v = t.real("weight_least", 1e-6, 1e6)) m.limits.weight_least = *v;
+  if (const auto v = t.real("weight_most", 1e-6, 1e9)) m.limits.weight_most = *v;
+  read_damping(t.table("damping"), m.fleet.damping, findings);
+  t.finish();
+  return m;
+}
+
+void read_signed(form::Table t, Settings& out, form::Findings& findings) {
+  config::Signed s;
+  s.enabled = t.flag("enabled").value_or(true);
+  if (const auto v = t.text("listen", true)) s.listen = *v, listens(t, *v, findings);
+  if (const auto v = t.text("cookie")) s.cookie = *v;
+  if (const auto v = t.duration("skew", 0, 300 * kSecond)) s.skew_s = *v / kSecond;
+  for (auto& k : t.tables("key")) {
+    const auto id = k.text("id", true), secret = k.text("secret", true);
+    const auto until = k.integer("until", 0, 1LL << 40);
+    k.finish();
+    if (!id || !secret) continue;
+    if (secret->size() < 16)
+      findings.error("S002", k.place("secret"), "the secret of key " + *id + " has under 16 characters",
+                     "use 32 random ones");
+    for (const auto& other : s.keys)
+      if (other.id == *id) findings.error("S002", k.place("id"), "two keys are called " + *id, "rename one");
+    s.keys.push_back({*id, *secret, until.value_or(0)});
+  }
+  for (auto& r : t.tables("route")) {
+    SignedRoute route;
+    const auto prefix = r.text("prefix", true), cls = r.text("class", true);
+    if (const auto v = r.duration("limit", kMilli, 600 * kSecond)) route.limit = *v;
+    r.finish();
+    if (!prefix || !cls) continue;
+    route.place = r.place("class");
+    route.prefix = *prefix, route.cls = *cls;
+    if (!prefix->starts_with('/') || !prefix->ends_with('/'))
+      findings.error("S002", r.place("prefix"), "a prefix begins and ends with a slash",
+                     "'/" + *prefix + "/'");
+    out.routes.push_back(std::move(route));
+  }
+  t.finish();
+  if (s.enabled && s.keys.empty())
+    findings.error("S002", t.place(), "the signed front is on but has no [[signed.key]]");
+  if (s.enabled && out.routes.empty())
+    findings.error("S002", t.place(), "the signed front is on but has no [[signed.route]]");
+  if (s.enabled) out.links = std::move(s);
+}
+
+}  // namespace
+
+Settings read(std::string_view text, const std::string& file, const std::string& folder,
+              form::Findings& findings) {
+  Settings out;
+  form::Document document(text, file, findings, "S001");
+  if (!document.read()) return out;
+  auto root = document.root();
+  auto router = root.table("router");
+  if (const auto v = router.text("config", root.has("router"))) out.config = path_in(folder, *v);
+  if (const auto v = router.text("listen")) out.listen = *v, listens(router, *v, findings);
+  if (!root.has("router"))
+    findings.error("S002", {file, 0, 0}, "there is no [router] section",
+                   "name the platform's JSON in its config");
+  router.finish();
+  read_log(root.table("log"), out.log, findings);
+  if (root.has("membership")) out.membership = read_membership(root.table("membership"), folder, findings);
+  if (root.has("signed")) read_signed(root.table("signed"), out, findings);
+  if (root.has("xds")) {
+    auto t = root.table("xds");
+    config::Xds x;
+    x.enabled = t.flag("enabled").value_or(true);
+    if (const auto v = t.text("listen", true)) x.listen = *v, listens(t, *v, findings);
+    if (const auto v = t.text("cluster", true)) x.cluster = *v;
+    t.finish();
+    if (x.enabled) out.xds = x;
+  }
+  root.finish();
+  return out;
+}
+
+void resolve(Settings& s, const config::Config& config, form::Findings& findings) {
+  if (!s.links) return;
+  const auto& classes = config.names.classes;
+  const std::vector<std::string_view> known(classes.begin(), classes.end());
+  for (const auto& r : s.routes) {
+    const auto it = std::find(classes.begin(), classes.end(), r.cls);
+    if (it == classes.end()) {
+      const auto near = form::nearest(r.cls, known);
+      findings.error("S002", r.place, "no class is called " + r.cls,
+                     near.empty() ? "the platform's JSON names the classes" : "did you mean " + near + "?");
+      continue;
+    }
+    const auto cls = static_cast<std::uint32_t>(it - classes.begin());
+    if (config.settings.classes[cls].uncached) {
+      findings.error("S002", r.place, "class " + r.cls + " runs at the origin and cannot be fetched by links",
+                     "name a class of kept objects");
+      continue;
+    }
+    core::Time limit = r.limit > 0 ? r.limit : config.names.give_up[cls];
+    s.links->routes.push_back({r.prefix, cls, limit > 0 ? limit : 2'500'000});
+  }
+}
+
+}  // namespace alderspur::settings
--- /dev/null
+++ b/src/settings/settings.h
@@ -0,0 +1,52 @@
+// The operator's settings of `alderspur`: one TOML file, a section a subsystem, checked as a whole.
+//
+// What the platform gives (RELAY_CONFIG) stays JSON and is named by [router]. Paths are taken from the
+// settings file's own folder. A section that is absent leaves its subsystem off. Reading does no I/O and
+// reports every mistake of a file in one go: S001 no TOML, S002 a section that does not fit the others, and
+// F002 to F004 of form/document.h. docs/settings.md lists the keys.
+#pragma once
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "config/config.h"
+#include "form/finding.h"
+#include "log/log.h"
+#include "membership/check.h"
+#include "membership/fleet.h"
+#include "membership/list.h"
+
+namespace alderspur::settings {
+
+struct Membership {
+  membership::FleetSettings fleet;
+  membership::Bounds bounds;
+  membership::Limits limits;
+  std::string list;                    // a file, or a directory with a manifest
+  std::string state;                   // a directory; empty: nothing is kept through a restart
+  core::Time oldest = 86'400'000'000;  // a kept list older than this is not started from
+  core::Time settle = 30'000, poll = 500'000;
+};
+struct SignedRoute {
+  std::string prefix, cls;
+  core::Time limit = 0;  // 0: as the class has it
+  form::Place place;
+};
+struct Settings {
+  std::string config, listen;  // the platform's JSON; an address in place of its `listen`
+  log::Settings log;
+  std::optional<Membership> membership;
+  std::optional<config::Signed> links;  // without its routes, which need the classes
+  std::vector<SignedRoute> routes;
+  std::optional<config::Xds> xds;
+};
+
+// `folder` is that of the file, for the paths in it.
+Settings read(std::string_view text, const std::string& file, const std::string& folder,
+              form::Findings& findings);
+// The signed front's routes by the classes that the platform's JSON has.
+void resolve(Settings& settings, const config::Config& config, form::Findings& findings);
+
+}  // namespace alderspur::settings
--- /dev/null
+++ b/src/watch/worker.cpp
@@ -0,0 +1,65 @@
+#include "watch/worker.h"
+
+#include <pthread.h>
+#include <signal.h>
+
+#include <exception>
+#include <utility>
+
+namespace alderspur::watch {
+
+Worker::Worker() {
+  // Danger: a signal taken by this thread would interrupt its reads; all of them belong to the loop.
+  sigset_t all, before;
+  sigfillset(&all);
+  pthread_sigmask(SIG_SETMASK, &all, &before);
+  thread_ = std::thread([this] { run(); });
+  pthread_sigmask(SIG_SETMASK, &before, nullptr);
+}
+Worker::~Worker() {
+  {
+    const std::lock_guard lock(mutex_);
+    ending_ = true;
+    jobs_.clear();
+  }
+  changed_.notify_all();
+  thread_.join();
+}
+
+bool Worker::submit(std::function<void()> job) {
+  {
+    const std::lock_guard lock(mutex_);
+    if (ending_ || jobs_.size() >= kMost) return false;
+    jobs_.push_back(std::move(job));
+  }
+  changed_.notify_all();
+  return true;
+}
+
+void Worker::drain() {
+  std::unique_lock lock(mutex_);
+  changed_.wait(lock, [this] { return ending_ || (jobs_.empty() && !busy_); });
+}
+
+void Worker::run() {
+  std::unique_lock lock(mutex_);
+  for (;;) {
+    changed_.wait(lock, [this] { return ending_ || !jobs_.empty(); });
+    if (ending_) return;
+    auto job = std::move(jobs_.front());
+    jobs_.pop_front();
+    busy_ = true;
+    lock.unlock();
+    try {
+      job();
+    } catch (const std::exception&) {
+      // A job owes its result to nobody if there is no memory for it; the next look tries again.
+    }
+    job = nullptr;
+    lock.lock();
+    busy_ = false;
+    changed_.notify_all();
+  }
+}
+
+}  // namespace alderspur::watch
