--- /dev/null
+++ b/bench/membership_bench.cpp
@@ -0,0 +1,116 @@
+// Lists of servers by size: reading, checking, difference, saving. Time by Google Benchmark, memory by
+// counting what is allocated. Run by bench/run.sh; figures stand in docs/measured.md.
+#include <benchmark/benchmark.h>
+
+#include <cstdlib>
+#include <new>
+#include <string>
+
+#include "membership/check.h"
+#include "membership/list.h"
+#include "store/membership_state.h"
+
+namespace {
+
+std::size_t g_live = 0, g_peak = 0;
+
+struct Head {
+  alignas(16) std::size_t size;
+};
+
+}  // namespace
+
+void* operator new(std::size_t size) {
+  auto* head = static_cast<Head*>(std::malloc(sizeof(Head) + size));
+  if (!head) throw std::bad_alloc();
+  head->size = size;
+  g_live += size;
+  if (g_live > g_peak) g_peak = g_live;
+  return head + 1;
+}
+void operator delete(void* at) noexcept {
+  if (!at) return;
+  auto* head = static_cast<Head*>(at) - 1;
+  g_live -= head->size;
+  std::free(head);
+}
+void operator delete(void* at, std::size_t) noexcept { operator delete(at); }
+
+namespace {
+
+using namespace alderspur;
+using namespace alderspur::membership;
+
+std::string text_of(std::size_t servers, std::uint64_t generation, std::size_t changed) {
+  std::string t = "format = 1\ngeneration = " + std::to_string(generation) +
+                  "\nservers = " + std::to_string(servers) + "\n[[hub]]\nname = \"hub\"\n";
+  const std::size_t points = std::max<std::size_t>(1, servers / 50);
+  for (std::size_t p = 0; p < points; ++p)
+    t += "[[point]]\nname = \"p" + std::to_string(p) + "\"\nhub = \"hub\"\n";
+  for (std::size_t i = 0; i < servers; ++i)
+    t += "[[server]]\nid = \"s-" + std::to_string(i) + "\"\nrole = \"cache\"\npoint = \"p" +
+         std::to_string(i % points) + "\"\naddress = \"127." + std::to_string(1 + i / 50'000) +
+         ".0.1:" + std::to_string(1 + i % 50'000) + "\"\nweight = " + (i < changed ? "5" : "4") +
+         ".0\nstate = \"in_service\"\ncell = 0\n";
+  return t;
+}
+SnapshotPtr list_of(const std::string& text) {
+  form::Findings f;
+  return read_list(text, "servers.toml", 0, {}, f).list;
+}
+
+void Read(benchmark::State& state) {
+  const auto text = text_of(static_cast<std::size_t>(state.range(0)), 1, 0);
+  const std::size_t before = g_live;
+  std::size_t kept = 0;
+  for (auto _ : state) {
+    g_peak = g_live;
+    const auto list = list_of(text);
+    if (!list) state.SkipWithError("not read");
+    kept = g_live - before;
+  }
+  state.counters["text_MB"] = static_cast<double>(text.size()) / 1e6;
+  state.counters["peak_MB"] = static_cast<double>(g_peak - before) / 1e6;
+  state.counters["kept_MB"] = static_cast<double>(kept) / 1e6;
+  state.SetComplexityN(state.range(0));
+}
+void Check(benchmark::State& state) {
+  const auto n = static_cast<std::size_t>(state.range(0));
+  const auto a = list_of(text_of(n, 1, 0)), b = list_of(text_of(n, 2, n / 100));
+  for (auto _ : state) {
+    form::Findings f;
+    check_alone(*b, f);
+    check_change(a.get(), *b, {}, f);
+    if (!f.good()) state.SkipWithError("refused");
+  }
+  state.SetComplexityN(state.range(0));
+}
+void Differ(benchmark::State& state) {
+  const auto n = static_cast<std::size_t>(state.range(0));
+  const auto a = list_of(text_of(n, 1, 0)), b = list_of(text_of(n, 2, n / 100));
+  for (auto _ : state) benchmark::DoNotOptimize(difference(a.get(), *b));
+  state.SetComplexityN(state.range(0));
+}
+void Encode(benchmark::State& state) {
+  const store::MembershipState s{list_of(text_of(static_cast<std::size_t>(state.range(0)), 1, 0)), {}, 1};
+  std::size_t size = 0;
+  for (auto _ : state) size = store::encode(s).size();
+  state.counters["file_MB"] = static_cast<double>(size) / 1e6;
+}
+void Decode(benchmark::State& state) {
+  const auto bytes = store::encode({list_of(text_of(static_cast<std::size_t>(state.range(0)), 1, 0)), {}, 1});
+  for (auto _ : state) {
+    std::string error;
+    if (!store::decode(bytes, error)) state.SkipWithError(error.c_str());
+  }
+}
+
+BENCHMARK(Read)->Arg(100)->Arg(10'000)->Arg(100'000)->Unit(benchmark::kMillisecond)->Complexity();
+BENCHMARK(Check)->Arg(100)->Arg(10'000)->Arg(100'000)->Unit(benchmark::kMillisecond)->Complexity();
+BENCHMARK(Differ)->Arg(100)->Arg(10'000)->Arg(100'000)->Unit(benchmark::kMillisecond)->Complexity();
+BENCHMARK(Encode)->Arg(100)->Arg(10'000)->Arg(100'000)->Unit(benchmark::kMillisecond);
+BENCHMARK(Decode)->Arg(100)->Arg(10'000)->Arg(100'000)->Unit(benchmark::kMillisecond);
+
+}  // namespace
+
+BENCHMARK_MAIN();
--- /dev/null
+++ b/bench/run.sh
@@ -0,0 +1,9 @@
+#!/usr/bin/env bash
+# All measurements of docs/measured.md, in a Release build of their own. Takes some minutes; wants idle cores.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+cmake -B build-bench -DCMAKE_BUILD_TYPE=Release -DALDERSPUR_TESTS=OFF -DALDERSPUR_BENCH=ON >/dev/null
+cmake --build build-bench -j4 >/dev/null
+echo "cores $(nproc), memory $(awk '/MemTotal/{print int($2/1024)}' /proc/meminfo) MB, $(uname -m)"
+build-bench/membership_bench
+for what in changes reload idle; do build-bench/load build-bench/alderspur "$what"; done
--- a/src/membership/fleet.cpp
+++ b/src/membership/fleet.cpp
@@ -249,6 +249,10 @@
     out.push_back(
         {{id}, born, stepping ? k.weight : 0, calm ? 0 : penalty, calm ? 0 : now, k.flaps.held_flag()});
   }
+  // Danger: a new server whose turn has not come yet would pass for a warm one after a restart.
+  for (const ServerId id : waiting_)
+    if (const auto it = known_.find(id.value); it == known_.end() || it->second.wanted == Status::gone)
+      out.push_back({id, now, 0, 0, 0, false});
   std::sort(out.begin(), out.end(), [](auto& a, auto& b) { return a.id < b.id; });
   return out;
 }
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -144,10 +144,11 @@
                    "name the platform's JSON in its config");
   router.finish();
   read_log(root.table("log"), out.log, findings);
-  if (root.has("membership")) out.membership = read_membership(root.table("membership"), folder, findings);
-  if (root.has("signed")) read_signed(root.table("signed"), out, findings);
+  // Asked for also where absent: a misspelt section then finds its nearest name.
+  auto membership = root.table("membership"), links = root.table("signed"), t = root.table("xds");
+  if (root.has("membership")) out.membership = read_membership(std::move(membership), folder, findings);
+  if (root.has("signed")) read_signed(std::move(links), out, findings);
   if (root.has("xds")) {
-    auto t = root.table("xds");
     config::Xds x;
     x.enabled = t.flag("enabled").value_or(true);
     if (const auto v = t.text("listen", true)) x.listen = *v, listens(t, *v, findings);
--- a/src/watch/source.cpp
+++ b/src/watch/source.cpp
@@ -132,7 +132,7 @@
       out.sight = Sight::unsettled;
       return out;
     }
-    out.texts.pieces.resize(names.empty() ? piece_names_.size() : 0);
+    out.texts.pieces.resize(piece_names_.size());
     for (std::size_t i = 0; i < piece_names_.size() && read_all; ++i)
       read_all = read(path_ + "/" + piece_names_[i], budget, out.texts.pieces[i], out.error);
   }
--- /dev/null
+++ b/tests/settings_test.cpp
@@ -0,0 +1,165 @@
+// Settings and logs: what is wrong is said with its place, and no secret leaves.
+#include "settings/settings.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+
+namespace {
+
+using namespace alderspur;
+
+const std::string kGood = R"([router]
+config = "config.json"
+listen = "127.0.0.1:4100"
+[log]
+form = "json"
+level = "warning"
+[log.levels]
+membership = "debug"
+[membership]
+authority = "both"
+list = "servers.toml"
+state = "/var/lib/x"
+settle = "50 ms"
+[membership.damping]
+half_life = "20 s"
+[signed]
+listen = "127.0.0.1:8480"
+skew = "2.5 s"
+[[signed.key]]
+id = "k1"
+secret = "a secret of some length"
+[[signed.route]]
+prefix = "/asset/"
+class = "asset"
+limit = "1500 ms"
+[xds]
+listen = "127.0.0.1:8490"
+cluster = "boxes"
+)";
+
+config::Config with_classes() {
+  config::Config c;
+  c.names.classes = {"asset", "plan-accept"};
+  c.names.give_up = {2'500'000, 3'000'000};
+  c.settings.classes.resize(2);
+  c.settings.classes[1].uncached = true;
+  return c;
+}
+
+TEST(Settings, EverySectionIsReadWithItsUnits) {
+  form::Findings f;
+  auto s = settings::read(kGood, "a.toml", "/etc/a", f);
+  settings::resolve(s, with_classes(), f);
+  for (const auto& x : f.list()) ADD_FAILURE() << form::to_string(x);
+  EXPECT_EQ(s.config, "/etc/a/config.json");
+  EXPECT_EQ(s.membership->list, "/etc/a/servers.toml");
+  EXPECT_EQ(s.membership->state, "/var/lib/x") << "absolute";
+  EXPECT_EQ(s.membership->settle, 50'000);
+  EXPECT_EQ(s.membership->fleet.damping.half_life, 20'000'000);
+  EXPECT_EQ(s.membership->fleet.authority, membership::Authority::both);
+  EXPECT_EQ(s.links->skew_s, 2);
+  EXPECT_EQ(s.links->routes.at(0).limit, 1'500'000);
+  EXPECT_EQ(s.xds->cluster, "boxes");
+  EXPECT_EQ(s.log.form, log::Form::json);
+  form::Findings g;
+  const auto least = settings::read("[router]\nconfig = \"c.json\"\n", "a.toml", "", g);
+  EXPECT_TRUE(g.good());
+  EXPECT_FALSE(least.membership || least.links || least.xds) << "absent sections are off";
+}
+
+TEST(Settings, WhatIsWrongIsSaidWithItsLineAndTheNearestKey) {
+  struct Case {
+    std::string what, with, code, says;
+    std::uint32_t line;
+  };
+  const Case cases[] = {
+      {"settle =", "setle =", "F004", "did you mean settle?", 13},
+      {"\"50 ms\"", "50", "F003", "with its unit", 13},
+      {"\"50 ms\"", "\"50 s\"", "F003", "out of bounds", 13},
+      {"\"50 ms\"", "\"50 msec\"", "F003", "with its unit", 13},
+      {"[xds]", "[xdss]", "F004", "did you mean xds?", 26},
+      {"\"both\"", "\"bothh\"", "F003", "did you mean 'both'?", 10},
+      {"\"127.0.0.1:8480\"", "\"localhost\"", "S002", "no address", 17},
+      {"\"a secret of some length\"", "\"short\"", "S002", "16 characters", 21},
+      {"class = \"asset\"", "class = \"aset\"", "S002", "did you mean asset?", 24},
+      {"class = \"asset\"", "class = \"plan-accept\"", "S002", "runs at the origin", 24},
+      {"prefix = \"/asset/\"", "prefix = \"asset\"", "S002", "slash", 23},
+      {"membership = \"debug\"", "membreship = \"debug\"", "F004", "did you mean membership?", 8},
+      {"level = \"warning\"", "level = \"wraning\"", "F003", "did you mean 'warning'?", 6},
+      {"half_life = \"20 s\"", "half_life = \"2 h\"", "S002", "longest", 14},
+      {"[router]\n", "[router\n", "S001", "", 1},
+      {"list = \"servers.toml\"\n", "", "F002", "list", 9},
+  };
+  for (const auto& c : cases) {
+    auto text = kGood;
+    const auto at = text.find(c.what);
+    ASSERT_NE(at, std::string::npos) << c.what;
+    text.replace(at, c.what.size(), c.with);
+    form::Findings f;
+    auto s = settings::read(text, "a.toml", "", f);
+    settings::resolve(s, with_classes(), f);
+    const auto it = std::find_if(f.list().begin(), f.list().end(), [&](auto& x) { return x.code == c.code; });
+    ASSERT_NE(it, f.list().end()) << c.with << (f.list().empty() ? "" : form::to_string(f.list()[0]));
+    const auto said = form::to_string(*it);
+    EXPECT_NE(said.find(c.says), std::string::npos) << said;
+    EXPECT_EQ(it->place.line, c.line) << said;
+    EXPECT_EQ(said.find("of some length"), std::string::npos) << "a message holds no secret";
+  }
+}
+
+struct Lines {
+  std::vector<std::string> out;
+  core::Time now = 1'764'576'000'000'000;
+  log::Log log(log::Settings s) {
+    return log::Log(
+        s, [this](const std::string& l) { out.push_back(l); }, [this] { return now; });
+  }
+};
+
+TEST(Log, RecordsHaveStableFieldsInBothForms) {
+  Lines l;
+  auto text = l.log({});
+  text.record("membership", log::Level::info, "list_taken",
+              {{"generation", 7}, {"share", 0.5}, {"ok", true}, {"change", "2 added\nlevel=error"}});
+  EXPECT_EQ(l.out.at(0),
+            "time=2025-12-01T08:00:00.000000Z level=info subsystem=membership event=list_taken generation=7 "
+            "share=0.5 ok=true change=\"2 added\\nlevel=error\"");
+  log::Settings s;
+  s.form = log::Form::json;
+  auto json = l.log(s);
+  json.record("membership", log::Level::error, "list_refused", {{"reason", "a \"b\"\x01"}, {"n", 3}});
+  EXPECT_EQ(l.out.at(1), R"({"time":"2025-12-01T08:00:00.000000Z","level":"error","subsystem":"membership",)"
+                         R"("event":"list_refused","reason":"a \"b\"\u0001","n":3})");
+}
+
+TEST(Log, OneKindIsBoundedInASecondAndSaysWhatItHeldBack) {
+  Lines l;
+  log::Settings s;
+  s.per_second = 3;
+  s.levels = {{"membership", log::Level::debug}};
+  auto log = l.log(s);
+  for (int i = 0; i < 10; ++i) log.record("membership", log::Level::debug, "server", {{"i", i}});
+  log.record("membership", log::Level::info, "other");
+  log.record("signed", log::Level::debug, "hidden");
+  EXPECT_EQ(l.out.size(), 4u);
+  l.now += 1'000'000;
+  log.record("membership", log::Level::debug, "server", {{"i", 10}});
+  EXPECT_NE(l.out.back().find("i=10 held_back=7"), std::string::npos) << l.out.back();
+  for (int i = 0; i < 5; ++i) log.record("membership", log::Level::debug, "server");
+  log.flush();
+  EXPECT_NE(l.out.back().find("held_back=3"), std::string::npos);
+}
+
+TEST(Log, WhatLooksLikeASecretIsBlottedOut) {
+  for (const std::string secret : {"/asset/1/0?exp=1&kid=k&sig=SeCrEt", "Authorization: Bearer SeCrEt",
+                                   "secret=SeCrEt; x", "a token=SeCrEt", "SIG=SeCrEt&SIG=SeCrEt"}) {
+    const auto out = log::blotted(secret);
+    EXPECT_EQ(out.find("SeCrEt"), std::string::npos) << out;
+  }
+  EXPECT_EQ(log::blotted("/asset/1/0?exp=1&sig=abc&x=1"), "/asset/1/0?exp=1&sig=***&x=1");
+  EXPECT_EQ(log::blotted("nothing to hide"), "nothing to hide");
+}
+
+}  // namespace
