Pass on only servers that this router may ask, and show the commands by tests

Membership now passes on caches of the own point, parents and the origin; a cache that leaves the point is still told of. Stories run every command for its exit codes and messages, and a refused content written anew is told once.

--- a/bench/load.cpp
+++ b/bench/load.cpp
@@ -81,7 +81,8 @@
     };
     for (const auto& s : near) server(s.id, "cache", "point = \"edge\"", s.address, "4.0");
     for (std::size_t i = 0; i < far; ++i)
-      server("f" + std::to_string(i), "cache", "point = \"far\"", "127.9.0.1:" + std::to_string(i + 1),
+      server("f" + std::to_string(i), "cache", "point = \"far\"",
+             "127.9.0." + std::to_string(1 + i / 60'000) + ":" + std::to_string(1 + i % 60'000),
              i < changed ? "5.0" : "4.0");
     server("o", "origin", "hub = \"hub\"", origin_.address(), "10.0");
     std::ofstream(folder_ + "/next") << t.str();
@@ -102,7 +103,12 @@
     log_ = std::make_unique<Socket>(-1);
     log_fd_ = ends[0];
     ::fcntl(log_fd_, F_SETFL, O_NONBLOCK);
-    while (!said("subsystem=signed event=listening")) ::usleep(1000), read_log();
+    for (int i = 0; !said("subsystem=signed event=listening"); ++i) {
+      ::usleep(1000), read_log();
+      if (i < 30'000) continue;
+      std::fprintf(stderr, "the program does not start: %s\n", text_.c_str());
+      std::exit(1);
+    }
     const auto after = [&](const std::string& what) {
       const auto at = text_.find(what) + what.size();
       return *net::parse_address(text_.substr(at, text_.find_first_of("\"\n", at) - at));
@@ -116,6 +122,13 @@
     for (ssize_t n; (n = ::read(log_fd_, buffer, sizeof buffer)) > 0;)
       text_.append(buffer, static_cast<std::size_t>(n));
   }
+  long longest_hold() {
+    const std::string key = "longest hold us ";
+    ::kill(pid_, SIGUSR1);
+    for (int i = 0; i < 2000 && !said(key); ++i) ::usleep(1000), read_log();
+    const auto at = text_.rfind(key);
+    return at == std::string::npos ? -1 : std::atol(text_.c_str() + at + key.size());
+  }
   // Microseconds of CPU that the program has used, all threads.
   double cpu_us() const {
     double sum = 0;
@@ -287,6 +300,33 @@
     std::fflush(stdout);
   }
   std::printf("{\"what\":\"ratio of the p99\",\"ratio\":%.2f}\n", p99[1] / p99[0]);
+  std::printf("{\"what\":\"longest that the loop was held by membership\",\"us\":%ld}\n", rig.longest_hold());
+  return 0;
+}
+
+// The largest list there may be, with every weight changed and a tenth of the servers new.
+int big(const std::string& program) {
+  Rig rig(program, 10);
+  rig.list(1, rig.near(), 90'000);
+  rig.put();
+  rig.start();
+  HttpClient client(rig.http_at, 1);
+  for (std::uint64_t g = 2; g <= 4; ++g) {
+    rig.list(g, rig.near(), 99'980, g % 2 ? 99'980 : 0);
+    const Time begun = net::unix_now();
+    rig.put();
+    std::vector<Time> took;
+    while (!rig.said("event=list_taken generation=" + std::to_string(g) + " ")) {
+      rig.play();
+      if (client.poll(true)) took.push_back(client.took);
+      rig.read_log();
+    }
+    std::printf(
+        "{\"what\":\"100,000 servers, rename to in force\",\"ms\":%.0f,\"requests\":%zu,\"p99_us\":%ld}\n",
+        static_cast<double>(net::unix_now() - begun) / 1e3, took.size(), static_cast<long>(part(took, 0.99)));
+    for (const Time end = net::unix_now() + 1'500'000; net::unix_now() < end;) rig.play(), client.poll(true);
+  }
+  std::printf("{\"what\":\"longest that the loop was held by membership\",\"us\":%ld}\n", rig.longest_hold());
   return 0;
 }
 
@@ -364,7 +404,8 @@
   const int n = argc > 3 ? std::atoi(argv[3]) : 0;
   if (mode == "changes") return changes(argv[1], n > 0 ? n : 200);
   if (mode == "reload") return reload(argv[1], n > 0 ? n : 10);
+  if (mode == "big") return big(argv[1]);
   if (mode == "idle") return idle(argv[1]);
-  std::fprintf(stderr, "usage: load PROGRAM changes|reload|idle [N]\n");
+  std::fprintf(stderr, "usage: load PROGRAM changes|reload|big|idle [N]\n");
   return 2;
 }
--- a/src/app/keeper.cpp
+++ b/src/app/keeper.cpp
@@ -1,5 +1,6 @@
 #include "app/keeper.h"
 
+#include <algorithm>
 #include <filesystem>
 #include <limits>
 #include <mutex>
@@ -195,7 +196,7 @@
   ++counters_.taken;
   push();
   const core::Time held = net::unix_now() - begun;
-  counters_.longest_apply = std::max(counters_.longest_apply, held);
+  if (serving_) held_since(begun);
   const auto& list = *judged.offer->list;
   log_.record(kName, log::Level::info, "list_taken",
               {{"generation", list.generation},
@@ -218,6 +219,7 @@
   FleetUpdate update;
   update.servers.reserve(changes.size());
   for (const auto& c : changes) {
+    if (!concerns(c.member.server)) continue;
     node_.caches().update(c.member);
     update.servers.push_back(c.member.server);
     if (!serving_ || !log_.enabled(kName, log::Level::debug)) continue;
@@ -236,6 +238,18 @@
   arm();
 }
 
+// Caches of other points are asked by nobody here: a list of a hundred thousand must not make every update of
+// the module's view, and every sweep, as long as itself. One that leaves our point is still told of.
+bool Keeper::concerns(const Server& s) {
+  const bool ours = s.role != Role::cache || s.location == node_.config().settings.location;
+  if (ours && s.status != Status::gone) return passed_.insert(s.id.value), true;
+  return passed_.erase(s.id.value) > 0;
+}
+
+void Keeper::held_since(core::Time begun) {
+  counters_.longest_apply = std::max(counters_.longest_apply, net::unix_now() - begun);
+}
+
 void Keeper::arm() {
   const core::Time next = fleet_.next();
   if (step_ && step_at_ <= next) return;
@@ -244,8 +258,10 @@
   step_at_ = next;
   step_ = node_.deadlines().set(next, [this] {
     step_.reset();
+    const core::Time begun = net::unix_now();
     fleet_.advance(node_.engine().now());
     push();
+    held_since(begun);
   });
 }
 
--- a/src/app/keeper.h
+++ b/src/app/keeper.h
@@ -9,6 +9,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <unordered_set>
 #include <vector>
 
 #include "log/log.h"
@@ -49,6 +50,8 @@
   static Judged judge(const Shared& shared, watch::Look&& look);
   void take(const Judged& judged);
   void push();
+  bool concerns(const Server& server);
+  void held_since(core::Time begun);
   void arm();
   void save_soon();
   void save();
@@ -61,6 +64,7 @@
   std::optional<core::Deadlines::Key> step_, save_;
   core::Time step_at_ = 0;
   std::string last_refusal_;
+  std::unordered_set<std::uint64_t> passed_;  // servers that connections and core know of
   bool saving_ = false, serving_ = false;
   KeeperCounters counters_;
   // Last, so that they end first: their jobs use what stands above.
--- /dev/null
+++ b/tests/program_test.cpp
@@ -0,0 +1,144 @@
+// The program's commands as a user meets them: exit codes, messages, and files that survive.
+#include <gtest/gtest.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <cstdio>
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+
+namespace {
+
+namespace fs = std::filesystem;
+
+class Program : public ::testing::Test {
+ protected:
+  void SetUp() override {
+    char name[] = "/tmp/alderspur-program-XXXXXX";
+    folder = ::mkdtemp(name);
+    write("a.toml", list(1, "in_service", "4.0"));
+    write("b.toml", list(2, "in_service", "5.0"));
+  }
+  void TearDown() override { fs::remove_all(folder); }
+  static std::string server(const std::string& id, int port, const std::string& state,
+                            const std::string& weight) {
+    return "[[server]]\nid = \"" + id +
+           "\"\nrole = \"cache\"\npoint = \"edge\"\naddress = \"127.0.0.1:" + std::to_string(port) +
+           "\"\nweight = " + weight + "\nstate = \"" + state + "\"\ncell = 0\n";
+  }
+  static std::string head(int generation, int servers) {
+    return "format = 1\ngeneration = " + std::to_string(generation) +
+           "\nservers = " + std::to_string(servers) +
+           "\n[[hub]]\nname = \"hub\"\n[[point]]\nname = \"edge\"\nhub = \"hub\"\n";
+  }
+  static std::string list(int generation, const std::string& state, const std::string& weight) {
+    return head(generation, 2) + server("s-1", 1, state, weight) + server("s-2", 2, "in_service", "4.0");
+  }
+  void write(const std::string& name, const std::string& text) const {
+    std::ofstream(folder + "/" + name, std::ios::binary) << text;
+  }
+  std::string text(const std::string& name) const {
+    std::ifstream in(folder + "/" + name, std::ios::binary);
+    std::ostringstream out;
+    out << in.rdbuf();
+    return out.str();
+  }
+  // Runs it in the test's folder; what it printed on both streams is in `said`.
+  int run(const std::string& arguments) {
+    const std::string command = "cd " + folder + " && " ALDERSPUR_PROGRAM " " + arguments + " 2>&1";
+    FILE* out = ::popen(command.c_str(), "r");
+    said.clear();
+    char buffer[4096];
+    for (std::size_t n; (n = std::fread(buffer, 1, sizeof buffer, out)) > 0;) said.append(buffer, n);
+    const int status = ::pclose(out);
+    return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+  }
+  bool says(const std::string& what) const { return said.find(what) != std::string::npos; }
+  std::string folder, said;
+};
+
+TEST_F(Program, ExitCodesTellYesAFindingAndUsage) {
+  EXPECT_EQ(run("version"), 0);
+  EXPECT_EQ(run("--help"), 0);
+  EXPECT_EQ(run("check --help"), 0);
+  EXPECT_TRUE(says("Example:"));
+  for (const char* usage : {"", "chek a.toml", "check", "run", "diff a.toml", "check --colour a.toml"})
+    EXPECT_EQ(run(usage), 2) << usage;
+  EXPECT_EQ(run("check a.toml b.toml"), 0) << said;
+  write("bad.toml", list(1, "in_sevrice", "4.0"));
+  EXPECT_EQ(run("check a.toml bad.toml"), 1);
+  EXPECT_TRUE(says("bad.toml:15:9: error F003: state:")) << said;
+  EXPECT_TRUE(says("did you mean 'in_service'?")) << said;
+  EXPECT_TRUE(says("a.toml: good: 2 servers")) << said;
+  EXPECT_EQ(run("check absent.toml"), 1);
+  EXPECT_EQ(run("check --json bad.toml"), 1);
+  EXPECT_TRUE(says(R"("code":"F003","file":"bad.toml","line":15,"column":9)")) << said;
+}
+
+TEST_F(Program, AChangeIsCheckedAgainstTheListInForceAndToldByMeaning) {
+  EXPECT_EQ(run("check --against b.toml a.toml"), 1) << "the generation goes back";
+  EXPECT_TRUE(says("L020")) << said;
+  EXPECT_EQ(run("check --against a.toml b.toml"), 0) << said;
+  EXPECT_TRUE(says("1 of another weight")) << said;
+  EXPECT_EQ(run("diff a.toml b.toml"), 1);
+  EXPECT_TRUE(says("generation 1 to 2: 1 of another weight")) << said;
+  EXPECT_EQ(run("diff --json a.toml b.toml"), 1);
+  EXPECT_TRUE(says(R"("weighted":["s-1"])")) << said;
+  write("order.toml", "# another order, the same list\n" + head(3, 2) +
+                          server("s-2", 2, "in_service", "4.0") + server("s-1", 1, "in_service", "4.0"));
+  EXPECT_EQ(run("diff a.toml order.toml"), 0) << said;
+}
+
+TEST_F(Program, SealWritesDigestsThatHoldUntilSomebodyEdits) {
+  EXPECT_EQ(run("seal a.toml"), 0) << said;
+  EXPECT_EQ(text("a.toml").rfind("digest = \"xxh3:", 0), 0u);
+  EXPECT_EQ(run("check a.toml"), 0) << said;
+  auto edited = text("a.toml");
+  edited.replace(edited.find("4.0"), 3, "6.0");
+  write("a.toml", edited);
+  EXPECT_EQ(run("check a.toml"), 1);
+  EXPECT_TRUE(says("L006")) << said;
+  EXPECT_EQ(run("seal a.toml"), 0);
+  EXPECT_EQ(run("check a.toml"), 0);
+
+  fs::create_directory(folder + "/d");
+  write("d/one.toml", server("s-1", 1, "in_service", "4.0"));
+  write("d/two.toml", server("s-2", 2, "in_service", "4.0"));
+  write("d/manifest.toml", head(1, 2) +
+                               "[[piece]]\nfile = \"one.toml\"\ndigest = \"xxh3:0000000000000000\"\n"
+                               "[[piece]]\nfile = \"two.toml\"\ndigest = \"xxh3:0000000000000000\"\n");
+  EXPECT_EQ(run("check d"), 1);
+  EXPECT_EQ(run("seal d"), 0) << said;
+  EXPECT_EQ(run("check d"), 0) << said;
+  EXPECT_EQ(run("diff b.toml d"), 1);
+  write("d/two.toml", server("s-2", 2, "draining", "4.0"));
+  EXPECT_EQ(run("check d"), 1);
+  EXPECT_TRUE(says("piece two.toml")) << said;
+}
+
+TEST_F(Program, AStartThatCannotGoWellEndsWithItsReason) {
+  EXPECT_EQ(run("run --settings absent.toml"), 1);
+  write("alderspur.toml", "[router]\nconfg = \"config.json\"\n");
+  EXPECT_EQ(run("run --settings alderspur.toml"), 1);
+  EXPECT_TRUE(says("alderspur.toml:2:1: error F004: the key confg is not known (did you mean config?)"))
+      << said;
+  write("config.json",
+        R"({"listen":"127.0.0.1:0","known":{"rev":0,"notices":[]},"settings":{"azs":["hub","edge"],
+    "zone":1,"shapes":["small"],"classes":[{"name":"asset","points":1,"repeat":"safe"}]}})");
+  const std::string good =
+      "[router]\nconfig = \"config.json\"\n[membership]\nauthority = \"files\"\nlist = \"l.toml\"\n";
+  write("alderspur.toml", good);
+  EXPECT_EQ(run("run --settings alderspur.toml"), 1);
+  EXPECT_TRUE(says("no usable list of servers")) << said;
+  EXPECT_TRUE(says("l.toml: No such file")) << said;
+  write("l.toml", "format = 1\n");
+  EXPECT_EQ(run("run --settings alderspur.toml"), 1);
+  EXPECT_TRUE(says("the key generation is missing")) << said;
+  EXPECT_EQ(run("check alderspur.toml"), 1) << "check reads the list that the settings name";
+  write("l.toml", list(1, "in_service", "4.0"));
+  EXPECT_EQ(run("check alderspur.toml"), 0) << said;
+  EXPECT_EQ(run("state ."), 1);
+}
+
+}  // namespace
--- a/tests/watch_test.cpp
+++ b/tests/watch_test.cpp
@@ -256,6 +256,15 @@
     rename_in(text);
     EXPECT_TRUE(until([&] { return keeper->counters().refused > before; })) << name;
   }
+  // The same refused content written anew is counted, and told once.
+  const auto told = lines.size();
+  rename_in(bad[0].second);
+  ASSERT_TRUE(until([&] { return lines.size() > told; }));
+  for_a_while(700'000);  // no longer so young that its date could hide a change
+  const auto refused = keeper->counters().refused;
+  rename_in(bad[0].second);
+  ASSERT_TRUE(until([&] { return keeper->counters().refused > refused; }));
+  EXPECT_EQ(lines.size(), told + 1);
   // Byte by byte, with pauses in which the half of it settles.
   {
     std::ofstream slow(path, std::ios::binary | std::ios::trunc);
