--- a/src/app/check.cpp
+++ b/src/app/check.cpp
@@ -8,9 +8,11 @@
 #include <filesystem>
 #include <fstream>
 #include <functional>
+#include <memory>
 #include <optional>
 
 #include "app/commands.h"
+#include "app/language.h"
 #include "config/config.h"
 #include "membership/list.h"
 #include "settings/settings.h"
@@ -60,9 +62,19 @@
   } catch (const std::exception& e) { findings.error("S002", {file, 0, 0}, e.what()); }
 }
 
-form::Findings check_one(const std::string& path, const membership::Snapshot* against, std::string& said) {
+// `render` shows a finding, with its line where the file is one of the language.
+form::Findings check_one(const std::string& path, const membership::Snapshot* against, std::string& said,
+                         std::function<std::string(const form::Finding&)>& render) {
   form::Findings findings;
+  render = form::to_string;
   try {
+    if (is_language(path)) {
+      const auto checked = std::make_shared<Checked>(check_language(path, findings));
+      render = [checked](const form::Finding& f) { return checked->program.sources.render(f); };
+      said = std::to_string(checked->meaning.declarations.size()) + " declarations in " +
+             std::to_string(checked->program.trees.size()) + " files";
+      return findings;
+    }
     const bool directory = std::filesystem::is_directory(path);
     const auto content = directory ? std::string() : config::read_text(path);
     if (!directory && is_settings(content)) {
@@ -166,11 +178,12 @@
     bool good = true;
     for (const auto& path : options.files) {
       std::string said;
-      const auto findings = check_one(path, against.get(), said);
+      std::function<std::string(const form::Finding&)> render;
+      const auto findings = check_one(path, against.get(), said, render);
       good &= findings.good();
       write_json(w, path, findings);
       if (options.json) continue;
-      for (const auto& f : findings.list()) std::printf("%s\n", form::to_string(f).c_str());
+      for (const auto& f : findings.list()) std::printf("%s\n", render(f).c_str());
       if (findings.left_out()) std::printf("%s: and %zu more\n", path.c_str(), findings.left_out());
       if (findings.good()) std::printf("%s: good: %s\n", path.c_str(), said.c_str());
     }
@@ -180,8 +193,9 @@
   });
 }
 
-int diff(const std::string& from, const std::string& to, bool json) {
+int diff(const std::string& from, const std::string& to, bool json, bool by_risk) {
   return guarded([&] {
+    if (is_language(from) && is_language(to)) return diff_language(from, to, json, by_risk);
     form::Findings findings;
     const auto a = read_list(from, findings), b = read_list(to, findings);
     if (!a || !b) {
--- a/src/app/commands.h
+++ b/src/app/commands.h
@@ -16,10 +16,11 @@
   std::string against;  // a list that counts as in force
   bool json = false;
 };
-// Says of each file (settings, a list of servers, a directory with a manifest) what is wrong with it.
+// Says of each file (settings, a list of servers, a directory with a manifest, a program of the language)
+// what is wrong with it.
 int check(const CheckOptions& options);
-// What changes between two lists, by meaning.
-int diff(const std::string& from, const std::string& to, bool json);
+// What changes between two lists, or two programs of the language, by meaning.
+int diff(const std::string& from, const std::string& to, bool json, bool by_risk);
 // Writes the digest into a list's first line, or those of the pieces into a directory's manifest.
 int seal(const std::string& path);
 // What the state directory holds: generation, age, servers and what is remembered of them.
--- /dev/null
+++ b/src/app/language.h
@@ -0,0 +1,29 @@
+// The commands on files of the configuration language. Exit codes as in app/commands.h.
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "lang/check.h"
+
+namespace alderspur::app {
+
+bool is_language(const std::string& path);  // by its ending, .alder
+
+// The program of a file and what it means, findings told by their place.
+struct Checked {
+  lang::Program program;
+  lang::Meaning meaning;
+};
+Checked check_language(const std::string& path, form::Findings& findings);
+
+struct FormatOptions {
+  std::vector<std::string> files;
+  bool write = false, check = false;
+};
+// Prints the canonical form, writes it in place, or says which files are not in it. A file that does not
+// parse is left as it is.
+int format_files(const FormatOptions& options);
+int diff_language(const std::string& from, const std::string& to, bool json, bool by_risk);
+
+}  // namespace alderspur::app
--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -4,6 +4,7 @@
 #include <string>
 
 #include "app/commands.h"
+#include "app/language.h"
 
 int main(int argc, char** argv) {
   using namespace alderspur::app;
@@ -28,15 +29,24 @@
   check_command->callback([&] { code = check(options); });
 
   std::string from, to;
-  bool json = false;
+  bool json = false, by_risk = false;
   auto* diff_command =
-      cli.add_subcommand("diff", "Say what changes between two lists of servers, by meaning");
+      cli.add_subcommand("diff", "Say what changes between two lists or two .alder files, by meaning");
   diff_command->add_option("OLD", from)->required();
   diff_command->add_option("NEW", to)->required();
-  diff_command->add_flag("--json", json, "ids as JSON");
+  diff_command->add_flag("--json", json, "as JSON");
+  diff_command->add_flag("--risk", by_risk, "of .alder files: what could hurt most first");
   diff_command->footer(
       "Exit code 0: they mean the same. Example: alderspur diff servers.toml servers.next.toml");
-  diff_command->callback([&] { code = diff(from, to, json); });
+  diff_command->callback([&] { code = diff(from, to, json, by_risk); });
+
+  FormatOptions format;
+  auto* fmt_command = cli.add_subcommand("fmt", "Bring .alder files into their canonical form");
+  fmt_command->add_option("FILE", format.files, "files of the language; printed unless written")->required();
+  fmt_command->add_flag("--write", format.write, "write them in place");
+  fmt_command->add_flag("--check", format.check, "only say which are not in their form");
+  fmt_command->footer("Example: alderspur fmt --check routes/*.alder");
+  fmt_command->callback([&] { code = format_files(format); });
 
   std::string path;
   auto* seal_command =
@@ -49,6 +59,7 @@
   auto* state_command = cli.add_subcommand("state", "Say what a state directory holds");
   state_command->add_option("DIRECTORY", folder)->required();
   state_command->add_flag("--json", json, "as JSON");
+  state_command->footer("Example: alderspur state /var/lib/alderspur");
   state_command->callback([&] { code = state(folder, json); });
 
   cli.add_subcommand("version", "Print the version")->callback([] {
--- /dev/null
+++ b/src/lang/files.h
@@ -0,0 +1,14 @@
+// The Loader for files on disk: regular files only, at most a text's bound, patterns by glob(3).
+#pragma once
+
+#include "lang/load.h"
+
+namespace alderspur::lang {
+
+class FileLoader : public Loader {
+ public:
+  std::optional<std::string> read(const std::string& path, std::string& error) override;
+  std::vector<std::string> match(const std::string& pattern) override;
+};
+
+}  // namespace alderspur::lang
--- /dev/null
+++ b/tests/lang_test.cpp
@@ -0,0 +1,238 @@
+// The configuration language by its corpus, and properties of formatting.
+//
+// tests/lang/broken/*.alder say in lines "#! LINE CODE words" what must be found, all of it and nothing else;
+// tests/lang/good/*.alder must check without an error, and stand in their canonical form but where a file
+// NAME.formatted beside them says how they are to be formatted.
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <filesystem>
+#include <fstream>
+#include <map>
+#include <random>
+#include <sstream>
+
+#include "lang/check.h"
+#include "lang/differ.h"
+#include "lang/files.h"
+#include "lang/format.h"
+#include "lang/parser.h"
+
+namespace {
+
+using namespace alderspur;
+namespace fs = std::filesystem;
+
+const fs::path kCorpus = ALDERSPUR_CORPUS;
+
+std::string text_of(const fs::path& path) {
+  std::ifstream in(path, std::ios::binary);
+  std::ostringstream out;
+  out << in.rdbuf();
+  return out.str();
+}
+std::vector<fs::path> files(const char* folder) {
+  std::vector<fs::path> out;
+  for (const auto& e : fs::directory_iterator(kCorpus / folder))
+    if (e.path().extension() == ".alder") out.push_back(e.path());
+  std::sort(out.begin(), out.end());
+  return out;
+}
+std::string formatted(const std::string& text, form::Findings& findings) {
+  lang::Sources sources;
+  return lang::format(lang::parse(sources, sources.add("x.alder", text), findings));
+}
+lang::Tree tree(lang::Sources& sources, const std::string& text) {
+  form::Findings ignored;
+  return lang::parse(sources, sources.add("x.alder", text), ignored);
+}
+
+struct Expected {
+  std::uint32_t line = 0;
+  std::string code, words;
+};
+std::vector<Expected> expectations(const std::string& text) {
+  std::vector<Expected> out;
+  std::istringstream lines(text);
+  for (std::string line; std::getline(lines, line);) {
+    if (!line.starts_with("#! ")) continue;
+    std::istringstream words(line.substr(3));
+    Expected e;
+    words >> e.line >> e.code;
+    std::getline(words >> std::ws, e.words);
+    out.push_back(std::move(e));
+  }
+  return out;
+}
+
+TEST(Corpus, BrokenFilesGetTheirMessages) {
+  const auto all = files("broken");
+  EXPECT_GE(all.size(), 60u);
+  for (const auto& path : all) {
+    form::Findings f;
+    lang::FileLoader loader;
+    const auto program = lang::load(path.string(), loader, f);
+    (void)lang::check(program, f);
+    auto expected = expectations(text_of(path));
+    EXPECT_FALSE(expected.empty()) << path;
+    std::string said;
+    for (const auto& x : f.list()) {
+      const auto line = form::to_string(x);
+      said += line + "\n";
+      EXPECT_NE(program.sources.render(x).find('^'), std::string::npos) << line;
+      const auto it = std::find_if(expected.begin(), expected.end(), [&](auto& e) {
+        return e.code == x.code && e.line == x.place.line && line.find(e.words) != std::string::npos;
+      });
+      if (it == expected.end()) ADD_FAILURE() << "not expected: " << line;
+      else expected.erase(it);
+    }
+    for (const auto& e : expected)
+      ADD_FAILURE() << path.filename() << ": missing " << e.line << ' ' << e.code << ' ' << e.words
+                    << "; said:\n"
+                    << said;
+  }
+}
+
+TEST(Corpus, GoodFilesCheckAndAreInTheirForm) {
+  const auto all = files("good");
+  EXPECT_GE(all.size(), 10u);
+  for (const auto& path : all) {
+    form::Findings f;
+    lang::FileLoader loader;
+    const auto program = lang::load(path.string(), loader, f);
+    (void)lang::check(program, f);
+    for (const auto& x : f.list())
+      if (x.severity == form::Severity::error) ADD_FAILURE() << form::to_string(x);
+    const auto text = text_of(path), once = formatted(text, f), twice = formatted(once, f);
+    const auto beside = path.string() + ".formatted";
+    EXPECT_EQ(once, fs::exists(beside) ? text_of(beside) : text) << path;
+    EXPECT_EQ(twice, once) << path;
+  }
+}
+
+TEST(Corpus, PairsDifferByMeaningAsTheyShould) {
+  std::size_t pairs = 0;
+  for (const auto& path : files("differ")) {
+    const auto name = path.string();
+    if (!name.ends_with(".old.alder")) continue;
+    ++pairs;
+    const auto stem = name.substr(0, name.size() - 10);
+    form::Findings f;
+    lang::FileLoader loader;
+    const auto a = lang::check(lang::load(name, loader, f), f);
+    const auto b = lang::check(lang::load(stem + ".new.alder", loader, f), f);
+    EXPECT_TRUE(f.good()) << stem;
+    std::string said;
+    for (const auto& c : lang::differ(a, b)) {
+      std::string risk = lang::word(c.risk);
+      risk.resize(6, ' ');
+      said += risk + c.text + "\n";
+    }
+    EXPECT_EQ(said, text_of(stem + ".txt")) << stem;
+    EXPECT_TRUE(lang::differ(a, a).empty()) << stem;
+  }
+  EXPECT_GE(pairs, 20u);
+}
+
+class Memory : public lang::Loader {
+ public:
+  std::optional<std::string> read(const std::string& path, std::string& error) override {
+    ++reads[path];
+    const auto it = files.find(path);
+    if (it == files.end()) return error = "there is no such file", std::nullopt;
+    return it->second;
+  }
+  std::vector<std::string> match(const std::string& pattern) override {
+    std::vector<std::string> out;
+    const auto star = pattern.find('*');
+    for (const auto& [p, t] : files)
+      if (p.starts_with(pattern.substr(0, star)) && p.ends_with(pattern.substr(star + 1))) out.push_back(p);
+    return out;
+  }
+  std::map<std::string, std::string> files;
+  std::map<std::string, int> reads;
+};
+
+TEST(Includes, ACycleIsToldAsItsChainAndNotFollowed) {
+  Memory m;
+  m.files = {{"d/a.alder", "\ninclude \"b.alder\"\n"},
+             {"d/b.alder", "include \"sub/c.alder\"\n"},
+             {"d/sub/c.alder", "let x = 1\n\ninclude \"../a.alder\"\n"}};
+  form::Findings f;
+  (void)lang::load("d/a.alder", m, f);
+  ASSERT_EQ(f.list().size(), 1u);
+  EXPECT_EQ(f.list()[0].code, "A011");
+  EXPECT_NE(f.list()[0].text.find("d/a.alder:2 -> d/b.alder:1 -> d/sub/c.alder:3 -> d/a.alder"),
+            std::string::npos)
+      << f.list()[0].text;
+  EXPECT_EQ(m.reads["d/a.alder"], 1);
+}
+
+TEST(Includes, AFileIncludedTwiceIsReadOnceAndAPatternTakesAll) {
+  Memory m;
+  m.files = {
+      {"main.alder", "include \"r/*.alder\"\ninclude \"shared.alder\"\ninclude \"./r/../shared.alder\"\n"},
+      {"r/1.alder", "include \"../shared.alder\"\nlet one = 1\n"},
+      {"r/2.alder", "let two = 2\n"},
+      {"shared.alder", "let all = 3\n"}};
+  form::Findings f;
+  const auto program = lang::load("main.alder", m, f);
+  EXPECT_TRUE(f.list().empty());
+  EXPECT_EQ(program.statements.size(), 3u);
+  for (const auto& [path, n] : m.reads) EXPECT_EQ(n, 1) << path;
+  EXPECT_EQ(program.statements[0]->arguments[0].text, "all") << "in the include's place";
+  m.files["main.alder"] = "include \"absent.alder\"\n";
+  form::Findings g;
+  (void)lang::load("main.alder", m, g);
+  EXPECT_EQ(g.list()[0].code, "A010");
+  EXPECT_EQ(g.list()[0].place.line, 1u);
+}
+
+TEST(Includes, DepthAndNumberAreBounded) {
+  Memory m;
+  for (int i = 0; i < 60; ++i)
+    m.files["f" + std::to_string(i)] = "include \"f" + std::to_string(i + 1) + "\"\n";
+  form::Findings f;
+  (void)lang::load("f0", m, f);
+  EXPECT_EQ(f.list().at(0).code, "A007");
+  Memory many;
+  for (int i = 0; i < 1100; ++i) many.files["r/" + std::to_string(i)] = "";
+  many.files["all"] = "include \"r/*\"\n";
+  form::Findings g;
+  (void)lang::load("all", many, g);
+  EXPECT_EQ(g.list().at(0).code, "A008");
+  form::Findings h;
+  (void)formatted(std::string(100'000, '['), h);
+  (void)formatted("a = " + std::string(100'000, '['), h);
+  std::string deep;
+  for (int i = 0; i < 50'000; ++i) deep += "a {\n";
+  (void)formatted(deep, h);
+  EXPECT_FALSE(h.good());
+}
+
+// Random edits of good files: nothing crashes, and what parses formats to a tree that is the same, once and
+// for all.
+RC_GTEST_PROP(Format, IsIdempotentAndKeepsTheMeaning, ()) {
+  static const auto all = files("good");
+  std::mt19937 random(*rc::gen::arbitrary<unsigned>());
+  const auto below = [&](std::size_t n) { return n ? static_cast<std::size_t>(random()) % n : 0; };
+  for (int round = 0; round < 10; ++round) {
+    std::string text = text_of(all[below(all.size())]);
+    for (std::size_t i = 0, edits = below(4); i < edits && !text.empty(); ++i) {
+      const auto at = below(text.size());
+      static const std::string kBits[] = {"\n", "\n\n", " # c\n", "{", "}",   "[",  "]",
+                                          ",",  ";",    "\"",     "=", "20%", "$x", "# d\n"};
+      if (random() % 3 == 0) text.erase(at, 1 + below(20));
+      else text.insert(at, kBits[below(std::size(kBits))]);
+    }
+    form::Findings f;
+    lang::Sources sources;
+    const auto before = tree(sources, text);
+    const auto once = lang::format(before);
+    const auto after = tree(sources, once);
+    RC_ASSERT(lang::same(before, after));
+    RC_ASSERT(lang::format(after) == once);
+  }
+}
+
+}  // namespace
