Run the signed front by a table of routes with limits, swapped whole on SIGHUP

Routes of the signed front were prefixes in the settings, read at start, without limits of their own. With [routes] the front asks a guide: the table made from an .alder file, compiled off the loop and swapped between turns. src/limits lets a request through all its gates or none (concurrency, rate with burst, by route, pool and policy), gives back exactly once, and says of a refusal when room returns. explain says which route holds and by which lines. Ruled out: limits inside the front, which every further front would have to repeat.

--- a/example/try.sh
+++ b/example/try.sh
@@ -15,7 +15,10 @@
 await '[ -s "$work/config.json" ]'
 sed 's/127.0.0.1:8480/127.0.0.1:0/' example/alderspur.toml >"$work/alderspur.toml"
 sed -i 's/^authority.*/&\nstate = "state"/' "$work/alderspur.toml"
-"$program" check "$work/alderspur.toml" "$work/servers.toml"
+cp example/main.alder "$work"
+"$program" check "$work/alderspur.toml" "$work/servers.toml" "$work/main.alder"
+"$program" fmt --check example/main.alder
+"$program" explain "$work/main.alder" "GET img.example/asset/7f3a9c21e0b4d655/0"
 "$program" run --settings "$work/alderspur.toml" 2>"$work/router.log" &
 router=$!
 started+=("$router")
@@ -30,6 +33,15 @@
 token=$(python3 example/sign.py "$work/alderspur.toml" --token /asset/7f3a9c21e0b4d655)
 [ "$(get -H "Authorization: Bearer $token" "$at/asset/7f3a9c21e0b4d655/3")" = 200 ] && cat "$work/body"
 
+# A table of routes that does not check changes nothing; one that does is swapped in by SIGHUP.
+sed -i 's/{object}/{objct}/' "$work/main.alder"
+kill -HUP "$router"
+await 'grep -q "event=table_refused" "$work/router.log"'
+[ "$(get "$at$link")" = 200 ] && echo "routes that do not check were refused, those in force serve on"
+cp example/main.alder "$work"
+kill -HUP "$router"
+await '[ "$(grep -c "event=table_taken" "$work/router.log")" = 2 ]'
+
 # A new list: the box that answered is drained and the other answers. Then one cut off, which is refused.
 box=$(sed -n 's/.* from //p' "$work/body")
 python3 - "$work/servers.toml" "$box" <<'PY'
--- a/src/app/check.cpp
+++ b/src/app/check.cpp
@@ -13,6 +13,7 @@
 
 #include "app/commands.h"
 #include "app/language.h"
+#include "app/routes.h"
 #include "config/config.h"
 #include "membership/list.h"
 #include "settings/settings.h"
@@ -54,6 +55,11 @@
   try {
     const auto config = config::read_file(s.config);
     settings::resolve(s, config, findings);
+    if (!s.routes_file.empty()) {
+      std::vector<std::string> told;
+      if (!compile(s.routes_file, config, told))
+        for (const auto& t : told) findings.error("S002", {file, 0, 0}, t);
+    }
     if (!s.membership || s.membership->list.empty()) return;
     const auto list = read_list(s.membership->list, findings);
     if (!list) return;
--- a/src/app/language.cpp
+++ b/src/app/language.cpp
@@ -13,6 +13,7 @@
 #include "lang/files.h"
 #include "lang/format.h"
 #include "lang/parser.h"
+#include "routing/table.h"
 
 namespace alderspur::app {
 namespace {
@@ -82,6 +83,60 @@
   return code;
 }
 
+int explain(const ExplainOptions& options) {
+  form::Findings findings;
+  const auto checked = check_language(options.file, findings);
+  tell(checked.program.sources, findings);
+  if (!findings.good()) return kUsage;
+  const routing::Table table(checked.meaning, checked.program.sources);
+  const auto where = [&](const char* kind, const std::string& name) {
+    const auto* d = checked.meaning.find(kind, name);
+    const auto p = checked.program.sources.place(d->span);
+    return name + " (" + p.file + ":" + std::to_string(p.line) + ")";
+  };
+  int code = kYes;
+  for (const auto& request : options.requests) {
+    const auto space = request.find(' '), slash = request.find('/', space);
+    if (space == std::string::npos || slash == std::string::npos) {
+      std::fprintf(stderr, "'%s' is no request: write \"GET host/path\"\n", request.c_str());
+      return kUsage;
+    }
+    const auto mark = std::min(request.find('?', slash), request.size());
+    const std::string host = request.substr(space + 1, slash - space - 1), method = request.substr(0, space);
+    const std::string path = request.substr(slash, mark - slash);
+    const std::string query = mark < request.size() ? "&" + request.substr(mark + 1) + "&" : "";
+    routing::Question q{host, path, method, options.point, {}, {}, 0};
+    q.header = [&](std::string_view name) -> std::optional<std::string_view> {
+      for (const auto& h : options.headers)
+        if (const auto is = h.find('='); is != std::string::npos && std::string_view(h).substr(0, is) == name)
+          return std::string_view(h).substr(is + 1);
+      return {};
+    };
+    q.query = [&](std::string_view name) -> std::optional<std::string_view> {
+      const auto at = query.find("&" + std::string(name) + "=");
+      if (at == std::string::npos) return {};
+      const auto from = at + name.size() + 2;
+      return std::string_view(query).substr(from, query.find('&', from) - from);
+    };
+    const auto m = table.match(q);
+    if (!m) {
+      std::printf("%s: no route\n", request.c_str());
+      code = kFinding;
+      continue;
+    }
+    std::printf("%s: route %s, class %s", request.c_str(), where("route", m->route->name).c_str(),
+                where("class", m->route->cls).c_str());
+    if (m->target.pool) std::printf(", pool %s", where("pool", table.pools()[*m->target.pool].name).c_str());
+    if (m->target.policy)
+      std::printf(", policy %s", where("policy", table.policies()[*m->target.policy].name).c_str());
+    for (const auto& [name, value] : m->captures)
+      std::printf(", %s=%.*s", std::string(name).c_str(), static_cast<int>(value.size()), value.data());
+    if (!m->route->splits.empty()) std::printf("; splits send others elsewhere");
+    std::printf("\n");
+  }
+  return code;
+}
+
 int diff_language(const std::string& from, const std::string& to, bool json, bool by_risk) {
   form::Findings a_found, b_found;
   const auto a = check_language(from, a_found), b = check_language(to, b_found);
--- a/src/app/language.h
+++ b/src/app/language.h
@@ -24,6 +24,13 @@
 // Prints the canonical form, writes it in place, or says which files are not in it. A file that does not
 // parse is left as it is.
 int format_files(const FormatOptions& options);
+struct ExplainOptions {
+  std::string file, point;
+  std::vector<std::string> requests;  // "GET host/path?query"
+  std::vector<std::string> headers;   // "name=value", of all requests
+};
+// Which route, pool and policy hold for each request, and where they stand.
+int explain(const ExplainOptions& options);
 int diff_language(const std::string& from, const std::string& to, bool json, bool by_risk);
 
 }  // namespace alderspur::app
--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -48,6 +48,17 @@
   fmt_command->footer("Example: alderspur fmt --check routes/*.alder");
   fmt_command->callback([&] { code = format_files(format); });
 
+  ExplainOptions explained;
+  auto* explain_command =
+      cli.add_subcommand("explain", "Say which route, pool and policy hold for a request");
+  explain_command->add_option("FILE", explained.file, "a file of the language")->required();
+  explain_command->add_option("REQUEST", explained.requests, "such as \"GET host/path?query\"")->required();
+  explain_command->add_option("--point", explained.point, "as the router of this point");
+  explain_command->add_option("--header", explained.headers, "NAME=VALUE, of all requests");
+  explain_command->footer(
+      "Example: alderspur explain main.alder \"GET img.example/asset/7f3a9c21e0b4d655/0\"");
+  explain_command->callback([&] { code = explain(explained); });
+
   std::string path;
   auto* seal_command =
       cli.add_subcommand("seal", "Write the digests into a list, or into a directory's manifest");
--- a/src/app/run.cpp
+++ b/src/app/run.cpp
@@ -5,6 +5,7 @@
 
 #include "app/commands.h"
 #include "app/keeper.h"
+#include "app/routes.h"
 #include "platform/node.h"
 #include "settings/settings.h"
 #include "signed/http_front.h"
@@ -34,10 +35,13 @@
     };
   platform::Node node(std::move(config), say, make_sink);
   node.config_path = settings.config;
+  std::unique_ptr<Routes> routes;
+  if (!settings.routes_file.empty()) routes = std::make_unique<Routes>(node, settings.routes_file, log);
   std::unique_ptr<signed_urls::HttpFront> links;
   if (settings.links) {
-    links = std::make_unique<signed_urls::HttpFront>(node.loop(), node.deadlines(), node.engine(),
-                                                     node.config(), *settings.links, net::unix_now);
+    links =
+        std::make_unique<signed_urls::HttpFront>(node.loop(), node.deadlines(), node.engine(), node.config(),
+                                                 *settings.links, net::unix_now, routes.get());
     node.add({[&] { links->end_turn(); }, [&] { links->begin_leaving(), links->stop_listening(); },
               [&] { return links->idle(); }});
     log.record("signed", log::Level::info, "listening", {{"address", net::to_string(links->address())}});
@@ -49,10 +53,11 @@
     node.add({[&] { discovery->end_turn(); }, [&] { discovery->stop_listening(); }, {}});
     log.record("xds", log::Level::info, "listening", {{"address", net::to_string(discovery->address())}});
   }
-  if (keeper) {
-    keeper->start();
-    node.on_reload([&] { keeper->look(); });
-  }
+  if (keeper) { keeper->start(); }
+  node.on_reload([&] {
+    if (keeper) keeper->look();
+    if (routes) routes->reload();
+  });
   node.loop().on_signal(SIGUSR1, [&] {
     if (keeper) log.record("membership", log::Level::info, "standing", {{"text", keeper->summary()}});
     log.flush();
--- a/src/http/message.cpp
+++ b/src/http/message.cpp
@@ -29,7 +29,9 @@
 }
 int on_value(http_parser* p, const char* at, std::size_t n) {
   auto& s = *static_cast<Parsing*>(p->data);
-  std::string_view* field = same(s.name, "authorization")   ? &s.request->authorization
+  if (s.request->fields.size() < kFieldsMost) s.request->fields.emplace_back(s.name, std::string_view(at, n));
+  std::string_view* field = same(s.name, "host")            ? &s.request->host
+                            : same(s.name, "authorization") ? &s.request->authorization
                             : same(s.name, "cookie")        ? &s.request->cookie
                             : same(s.name, "if-none-match") ? &s.request->if_none_match
                                                             : nullptr;
@@ -140,6 +142,12 @@
   return true;
 }
 
+std::optional<std::string_view> Request::field(std::string_view name) const {
+  for (const auto& [n, v] : fields)
+    if (same(n, name)) return v;
+  return {};
+}
+
 std::string response_head(const Answer& a) {
   std::string out = "HTTP/1.1 " + std::to_string(a.status) + ' ' + reason(a.status) + "\r\n";
   if (a.status != 304) out += "Content-Length: " + std::to_string(a.length) + "\r\n";
--- a/src/http/message.h
+++ b/src/http/message.h
@@ -5,13 +5,18 @@
 // came in chunks. Nothing here is shared: call it from any thread.
 #pragma once
 
+#include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
+#include <vector>
 
 #include "core/engine.h"
 
 namespace alderspur::http {
 
+constexpr std::size_t kFieldsMost = 64;
+
 enum class Method { get, head, post, other };
 
 struct Limits {
@@ -22,8 +27,11 @@
   Method method = Method::other;
   bool keep_alive = false;
   int error = 0;  // a status to answer at once
-  std::string_view target, authorization, cookie, if_none_match;
+  std::string_view target, host, authorization, cookie, if_none_match;
+  std::vector<std::pair<std::string_view, std::string_view>> fields;  // all, kFieldsMost at most
   std::string body;
+  // The first field of that name, whatever its case.
+  std::optional<std::string_view> field(std::string_view name) const;
 };
 // Takes one request from the front of `bytes`. False: not whole yet.
 bool next_request(std::string_view& bytes, Request& request, const Limits& limits = {});
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -33,15 +33,14 @@
   if (const auto level = t.word("level", levels)) out.level = level_of(*level);
   if (const auto n = t.integer("per_second", 1, 10'000)) out.per_second = static_cast<int>(*n);
   auto by_subsystem = t.table("levels");
-  const std::vector<std::string_view> known = {"router", "membership", "signed", "xds", "settings"};
+  const std::vector<std::string_view> known = {"router", "membership", "signed", "xds", "routes"};
   for (const auto& [name, level] : by_subsystem.texts()) {
     if (std::find(levels.begin(), levels.end(), level) == levels.end())
       findings.error("F003", by_subsystem.place(name), name + ": '" + level + "' is no level");
     if (std::find(known.begin(), known.end(), name) == known.end()) {
       const auto near = form::nearest(name, known);
-      findings.error(
-          "F004", by_subsystem.place(name), "no subsystem is called " + name,
-          near.empty() ? "router, membership, signed, xds, settings" : "did you mean " + near + "?");
+      findings.error("F004", by_subsystem.place(name), "no subsystem is called " + name,
+                     near.empty() ? "router, membership, signed, xds, routes" : "did you mean " + near + "?");
     }
     out.levels[name] = level_of(level);
   }
@@ -123,7 +122,7 @@
   t.finish();
   if (s.enabled && s.keys.empty())
     findings.error("S002", t.place(), "the signed front is on but has no [[signed.key]]");
-  if (s.enabled && out.routes.empty())
+  if (s.enabled && out.routes.empty() && out.routes_file.empty())
     findings.error("S002", t.place(), "the signed front is on but has no [[signed.route]]");
   if (s.enabled) out.links = std::move(s);
 }
@@ -145,6 +144,10 @@
   router.finish();
   read_log(root.table("log"), out.log, findings);
   // Asked for also where absent: a misspelt section then finds its nearest name.
+  auto routes = root.table("routes");
+  if (root.has("routes"))
+    if (const auto v = routes.text("file", true)) out.routes_file = path_in(folder, *v);
+  routes.finish();
   auto membership = root.table("membership"), links = root.table("signed"), t = root.table("xds");
   if (root.has("membership")) out.membership = read_membership(std::move(membership), folder, findings);
   if (root.has("signed")) read_signed(std::move(links), out, findings);
@@ -156,6 +159,9 @@
     t.finish();
     if (x.enabled) out.xds = x;
   }
+  if (!out.routes_file.empty() && !out.routes.empty())
+    findings.error("S002", out.routes[0].place, "routes stand here and in [routes] file",
+                   "keep those of the file");
   root.finish();
   return out;
 }
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -41,6 +41,8 @@
   std::optional<config::Signed> links;  // without its routes, which need the classes
   std::vector<SignedRoute> routes;
   std::optional<config::Xds> xds;
+  std::string
+      routes_file;  // a program of the configuration language; the signed front then has no routes here
 };
 
 // `folder` is that of the file, for the paths in it.
--- a/src/signed/http_front.cpp
+++ b/src/signed/http_front.cpp
@@ -29,19 +29,21 @@
   bool head = false, keep_alive = true;
   bool dead = false, ending = false, finished = false;
   core::Deadlines::Key timeout{};
-  std::size_t place = 0;  // in clients_
+  std::size_t place = 0;       // in clients_
+  std::unique_ptr<Hold> hold;  // of the request that is open
   bool touched = false;
 };
 
 HttpFront::HttpFront(net::Loop& loop, core::Deadlines& deadlines, core::Engine& engine,
                      const config::Config& config, const config::Signed& settings,
-                     std::function<core::Time()> clock)
+                     std::function<core::Time()> clock, Guide* guide)
     : loop_(loop),
       deadlines_(deadlines),
       engine_(engine),
       settings_(settings),
       config_(config),
       clock_(std::move(clock)),
+      guide_(guide),
       checker_(
           [&] {
             std::vector<Key> keys;
@@ -111,20 +113,28 @@
 }
 
 // "/asset/7f3a9c21e0b4d655/0": the class by its prefix, the object, the part.
-void HttpFront::ask(Client& client, const http::Request& request) {
-  const auto path = request.target.substr(0, request.target.find('?'));
-  const auto query = request.target.substr(std::min(request.target.size(), path.size() + 1));
-  core::Demand d;
+std::optional<Found> HttpFront::find(const http::Request& request, std::string_view path,
+                                     std::string_view query) {
+  if (guide_) return guide_->find(request, path, query);
   const config::Signed::Route* route = nullptr;
   for (const auto& r : settings_.routes)
     if (path.starts_with(r.prefix)) route = &r;
   const auto rest = route ? path.substr(route->prefix.size()) : std::string_view();
   const auto slash = rest.find('/');
-  if (!route || slash != 16 || !core::parse_number(rest.substr(0, 16), d.object, 16) ||
-      !core::parse_number(rest.substr(17), d.part))
+  if (!route || slash == std::string_view::npos) return {};
+  return Found{route->cls, rest.substr(0, slash), rest.substr(slash + 1), route->limit, nullptr};
+}
+
+void HttpFront::ask(Client& client, const http::Request& request) {
+  const auto path = request.target.substr(0, request.target.find('?'));
+  const auto query = request.target.substr(std::min(request.target.size(), path.size() + 1));
+  core::Demand d;
+  auto found = find(request, path, query);
+  if (!found || found->object.size() != 16 || !core::parse_number(found->object, d.object, 16) ||
+      !core::parse_number(found->part, d.part))
     return respond(client, 404);
-  d.object_text = rest.substr(0, 16);
-  d.cls = route->cls;
+  d.object_text = found->object;
+  d.cls = found->cls;
 
   // Checked once, here: whatever expires later, the request runs to its one answer.
   std::string token;
@@ -153,12 +163,21 @@
       (!claims.ram.empty() && !core::parse_number(claims.ram, d.size_kb)))
     return respond(client, 400);
 
+  if (guide_)
+    if (const core::Time later = guide_->admit(*found, engine_.now()); later > 0) {
+      ++engine_.counters().too_much;
+      core::Answer refused;
+      refused.verdict = core::Verdict::refused;
+      refused.retry_after = later;
+      return respond(client, 503, refused);
+    }
   char id[17];
   std::snprintf(id, sizeof id, "%016llx",
                 static_cast<unsigned long long>(mix(random_ += 0x9e3779b97f4a7c15ULL)));
   d.id = std::string_view(id, 16);
   d.held_tag = http::bare_tag(request.if_none_match);
-  d.limit = route->limit;
+  d.limit = found->limit;
+  client.hold = std::move(found->hold);
   client.ticket = engine_.take(*this, d);
   asked_[client.ticket] = &client;
   deadlines_.clear(client.timeout);
@@ -170,6 +189,7 @@
   Client& client = *it->second;
   asked_.erase(it);
   client.ticket = 0;
+  let_go(client);
   using core::Verdict;
   const int status = answer.verdict == Verdict::served    ? (answer.unchanged ? 304 : 200)
                      : answer.late                        ? 504
@@ -192,9 +212,14 @@
   wait(client, client.connection->unwritten() ? kWriteTime : kIdle);
 }
 
+void HttpFront::let_go(Client& client) {
+  if (const auto hold = std::move(client.hold)) hold->end(engine_.now());
+}
+
 void HttpFront::drop(Client& client) {
   if (client.dead) return;
   client.dead = true;
+  let_go(client);
   touch(client);
   deadlines_.clear(client.timeout);
   client.connection->close();
--- a/src/signed/http_front.h
+++ b/src/signed/http_front.h
@@ -10,15 +10,17 @@
 #include "core/engine.h"
 #include "http/message.h"
 #include "net/connection.h"
+#include "signed/guide.h"
 #include "signed/token.h"
 
 namespace alderspur::signed_urls {
 
 class HttpFront : public core::Front {
  public:
-  // `clock` is the wall clock that links and tokens are checked against.
+  // `clock` is the wall clock that links and tokens are checked against. With a guide the settings' routes
+  // are not looked at.
   HttpFront(net::Loop& loop, core::Deadlines& deadlines, core::Engine& engine, const config::Config& config,
-            const config::Signed& settings, std::function<core::Time()> clock);
+            const config::Signed& settings, std::function<core::Time()> clock, Guide* guide = nullptr);
   ~HttpFront() override;
 
   void answer(core::Ticket ticket, const core::Answer& answer) override;
@@ -33,6 +35,8 @@
   void accept(net::Fd fd);
   std::ptrdiff_t take(Client& client, std::string_view bytes);
   void ask(Client& client, const http::Request& request);
+  std::optional<Found> find(const http::Request& request, std::string_view path, std::string_view query);
+  void let_go(Client& client);
   void respond(Client& client, int status, const core::Answer& answer = {});
   void drop(Client& client);
   void touch(Client& client);
@@ -45,6 +49,7 @@
   const config::Signed& settings_;
   const config::Config& config_;
   std::function<core::Time()> clock_;
+  Guide* guide_;
   Checker checker_;
   std::uint64_t random_;
   bool leaving_ = false;
--- a/tests/program_test.cpp
+++ b/tests/program_test.cpp
@@ -117,6 +117,34 @@
   EXPECT_TRUE(says("piece two.toml")) << said;
 }
 
+TEST_F(Program, FilesOfTheLanguageAreCheckedFormattedComparedAndExplained) {
+  const std::string good =
+      "class a {\n  repeat = safe\n  deadline = 1 s\n}\n\nroute r {\n  path = \"/r/{o}\"\n  class = a\n}\n";
+  write("good.alder", good);
+  write("ugly.alder", "class a{repeat=safe;deadline=1000ms}\n\nroute r{path=\"/r/{o}\";class=a}");
+  write("bad.alder", "class a {\n  repeat = sage\n  deadline = 1000\n}\n");
+  EXPECT_EQ(run("check good.alder ugly.alder"), 0) << said;
+  EXPECT_EQ(run("check bad.alder"), 1);
+  EXPECT_TRUE(
+      says("bad.alder:2:12: error A019: 'sage' is no value of repeat (did you mean safe?)\n"
+           "      repeat = sage\n               ^"))
+      << said;
+  EXPECT_TRUE(says("1000 ms or 1000 s")) << said;
+  EXPECT_EQ(run("fmt --check good.alder"), 0) << said;
+  EXPECT_EQ(run("fmt --check ugly.alder"), 1);
+  EXPECT_EQ(run("diff good.alder ugly.alder"), 0) << said;
+  EXPECT_EQ(run("fmt --write ugly.alder"), 0);
+  EXPECT_EQ(run("fmt --check ugly.alder"), 0);
+  EXPECT_EQ(run("diff good.alder ugly.alder"), 0) << said;
+  write("broken.alder", "class a {\n");
+  EXPECT_EQ(run("fmt --write broken.alder"), 1);
+  EXPECT_EQ(text("broken.alder"), "class a {\n") << "what does not parse is left alone";
+  EXPECT_EQ(run("explain good.alder 'GET h/r/7'"), 0) << said;
+  EXPECT_TRUE(says("route r (good.alder:6), class a (good.alder:1), o=7")) << said;
+  EXPECT_EQ(run("explain good.alder 'GET h/s'"), 1);
+  EXPECT_EQ(run("explain good.alder nothing"), 2);
+}
+
 TEST_F(Program, AStartThatCannotGoWellEndsWithItsReason) {
   EXPECT_EQ(run("run --settings absent.toml"), 1);
   write("alderspur.toml", "[router]\nconfg = \"config.json\"\n");
