Measure the language by number of routes, and name pools that select no server

How check, format, compile and matching grow was not known, and a pool that a misspelt point leaves without servers checked well. check on settings that name routes and a list resolves each pool against it (A043).

--- /dev/null
+++ b/bench/lang_bench.cpp
@@ -0,0 +1,115 @@
+// The configuration language by number of routes: loading with checks, formatting, compiling, matching, and
+// what a limit costs a request. Run by bench/run.sh; figures stand in docs/measured.md.
+#include <benchmark/benchmark.h>
+
+#include <map>
+#include <string>
+
+#include "lang/differ.h"
+#include "lang/format.h"
+#include "lang/parser.h"
+#include "limits/limits.h"
+#include "routing/table.h"
+
+namespace {
+
+using namespace alderspur;
+
+class Memory : public lang::Loader {
+ public:
+  std::optional<std::string> read(const std::string& path, std::string& error) override {
+    const auto it = files.find(path);
+    if (it == files.end()) return error = "there is no such file", std::nullopt;
+    return it->second;
+  }
+  std::vector<std::string> match(const std::string&) override {
+    std::vector<std::string> out;
+    for (const auto& [p, t] : files)
+      if (p != "main.alder") out.push_back(p);
+    return out;
+  }
+  std::map<std::string, std::string> files;
+};
+
+Memory program(std::size_t routes) {
+  Memory m;
+  m.files["main.alder"] =
+      "include \"r/*\"\nclass a {\n  repeat = safe\n  deadline = 1 s\n}\npool p {\n  role = cache\n}\n";
+  for (std::size_t i = 0; i < routes; ++i)
+    m.files["r/" + std::to_string(i / 5000)] += "route r" + std::to_string(i) + " {\n  path = \"/s" +
+                                                std::to_string(i) +
+                                                "/{object}/{part}\"\n  class = a\n  pool = p\n}\n";
+  return m;
+}
+
+void LoadAndCheck(benchmark::State& state) {
+  auto m = program(static_cast<std::size_t>(state.range(0)));
+  for (auto _ : state) {
+    form::Findings f;
+    const auto p = lang::load("main.alder", m, f);
+    benchmark::DoNotOptimize(lang::check(p, f));
+    if (!f.good()) state.SkipWithError(form::to_string(f.list()[0]).c_str());
+  }
+}
+void Format(benchmark::State& state) {
+  const auto m = program(static_cast<std::size_t>(state.range(0)));
+  for (auto _ : state)
+    for (const auto& [path, text] : m.files) {
+      form::Findings f;
+      lang::Sources sources;
+      benchmark::DoNotOptimize(lang::format(lang::parse(sources, sources.add(path, text), f)));
+    }
+}
+void Compile(benchmark::State& state) {
+  auto m = program(static_cast<std::size_t>(state.range(0)));
+  form::Findings f;
+  const auto p = lang::load("main.alder", m, f);
+  const auto meaning = lang::check(p, f);
+  for (auto _ : state) benchmark::DoNotOptimize(std::make_unique<routing::Table>(meaning, p.sources));
+}
+void Differ(benchmark::State& state) {
+  auto m = program(static_cast<std::size_t>(state.range(0)));
+  form::Findings f;
+  const auto p = lang::load("main.alder", m, f);
+  const auto meaning = lang::check(p, f);
+  for (auto _ : state) benchmark::DoNotOptimize(lang::differ(meaning, meaning));
+}
+void Match(benchmark::State& state) {
+  auto m = program(static_cast<std::size_t>(state.range(0)));
+  form::Findings f;
+  const auto p = lang::load("main.alder", m, f);
+  const auto meaning = lang::check(p, f);
+  const routing::Table table(meaning, p.sources);
+  std::vector<std::string> paths;
+  for (std::size_t i = 0; i < 1000; ++i)
+    paths.push_back("/s" + std::to_string(i * 7919 % static_cast<std::size_t>(state.range(0))) +
+                    "/7f3a9c21e0b4d655/3");
+  std::size_t i = 0;
+  for (auto _ : state) {
+    const routing::Question q{"img.example", paths[i++ % paths.size()], "GET", "edge", {}, {}, i};
+    const auto found = table.match(q);
+    if (!found) state.SkipWithError("no route");
+    benchmark::DoNotOptimize(found);
+  }
+}
+void ThreeLimits(benchmark::State& state) {
+  limits::Limits l;
+  const std::vector<limits::Limits::Ask> asked = {
+      {"route r", {100, 1e6, 1000}}, {"pool p", {100, 1e6, 1000}}, {"policy q", {100, 1e6, 1000}}};
+  core::Time now = 0;
+  for (auto _ : state) {
+    auto v = l.ask(asked, ++now);
+    v.permit.release(now);
+  }
+}
+
+BENCHMARK(LoadAndCheck)->Arg(100)->Arg(10'000)->Arg(100'000)->Unit(benchmark::kMillisecond);
+BENCHMARK(Format)->Arg(100)->Arg(10'000)->Arg(100'000)->Unit(benchmark::kMillisecond);
+BENCHMARK(Compile)->Arg(100)->Arg(10'000)->Arg(100'000)->Unit(benchmark::kMillisecond);
+BENCHMARK(Differ)->Arg(100)->Arg(10'000)->Arg(100'000)->Unit(benchmark::kMillisecond);
+BENCHMARK(Match)->Arg(10)->Arg(1'000)->Arg(100'000);
+BENCHMARK(ThreeLimits);
+
+}  // namespace
+
+BENCHMARK_MAIN();
--- a/bench/run.sh
+++ b/bench/run.sh
@@ -6,4 +6,5 @@
 cmake --build build-bench -j4 >/dev/null
 echo "cores $(nproc), memory $(awk '/MemTotal/{print int($2/1024)}' /proc/meminfo) MB, $(uname -m)"
 build-bench/membership_bench
+build-bench/lang_bench
 for what in changes reload big idle; do build-bench/load build-bench/alderspur "$what"; done
--- a/src/app/check.cpp
+++ b/src/app/check.cpp
@@ -55,9 +55,11 @@
   try {
     const auto config = config::read_file(s.config);
     settings::resolve(s, config, findings);
+    TablePtr routes;
     if (!s.routes_file.empty()) {
       std::vector<std::string> told;
-      if (!compile(s.routes_file, config, told))
+      routes = compile(s.routes_file, config, told);
+      if (!routes)
         for (const auto& t : told) findings.error("S002", {file, 0, 0}, t);
     }
     if (!s.membership || s.membership->list.empty()) return;
@@ -65,6 +67,12 @@
     if (!list) return;
     check_alone(*list, findings);
     (void)members(*list, config.names.zones, findings);
+    if (!routes) return;
+    for (const auto& pool : routes->table->pools())
+      if (routes->table->servers(pool, *list).empty())
+        findings.error("A043", pool.place,
+                       "pool " + pool.name + " selects no server in service of " + list->source,
+                       "change what it selects, or list a server for it");
   } catch (const std::exception& e) { findings.error("S002", {file, 0, 0}, e.what()); }
 }
 
--- a/src/routing/table.cpp
+++ b/src/routing/table.cpp
@@ -94,7 +94,10 @@
 Table::Table(const lang::Meaning& meaning, const lang::Sources& sources) : any_(std::make_unique<Node>()) {
   std::map<std::string, std::uint32_t> pools, policies;
   for (const auto& d : meaning.declarations) {
-    if (d.kind->name == "pool" && pools.emplace(d.name, pools_.size()).second) pools_.push_back(pool_of(d));
+    if (d.kind->name == "pool" && pools.emplace(d.name, pools_.size()).second) {
+      pools_.push_back(pool_of(d));
+      pools_.back().place = sources.place(d.span);
+    }
     if (d.kind->name == "policy" && policies.emplace(d.name, policies_.size()).second)
       policies_.push_back(policy_of(d));
   }
--- a/src/routing/table.h
+++ b/src/routing/table.h
@@ -38,6 +38,7 @@
   double weight_least = 0;
   std::vector<std::uint32_t> fallback;  // places in Table::pools
   Limits limits;
+  form::Place place;
 };
 struct Policy {
   std::string name;
--- a/tests/program_test.cpp
+++ b/tests/program_test.cpp
@@ -166,6 +166,15 @@
   EXPECT_EQ(run("check alderspur.toml"), 1) << "check reads the list that the settings name";
   write("l.toml", list(1, "in_service", "4.0"));
   EXPECT_EQ(run("check alderspur.toml"), 0) << said;
+  write("alderspur.toml", good + "[routes]\nfile = \"main.alder\"\n");
+  const std::string program =
+      "class asset {\n  repeat = safe\n  deadline = 1 s\n}\npool p {\n  role = cache\n  point = \"edge\"\n}\n"
+      "route r {\n  path = \"/r/{object}\"\n  class = asset\n  pool = p\n}\n";
+  write("main.alder", program);
+  EXPECT_EQ(run("check alderspur.toml"), 0) << said;
+  write("main.alder", std::string(program).replace(program.find("\"edge\""), 6, "\"egde\""));
+  EXPECT_EQ(run("check alderspur.toml"), 1);
+  EXPECT_TRUE(says("main.alder:5:6: error A043: pool p selects no server")) << said;
   EXPECT_EQ(run("state ."), 1);
 }
 
