Log the counters as fields of one record

The counters of alderspur run stood in one field as a line of prose, which no reader of logs could take apart. They are a field each now, with the names that core/counters.h gives them; alderspur_edge prints its line as before.

--- a/example/try.sh
+++ b/example/try.sh
@@ -62,6 +62,7 @@
 
 kill -USR1 "$router"
 await 'grep -q "event=standing" "$work/router.log"'
+await 'grep -q "event=counters open=0 .* served=" "$work/router.log"'
 kill -TERM "$router"
 wait "$router"
 "$program" state "$work/state"
--- a/src/app/run.cpp
+++ b/src/app/run.cpp
@@ -35,6 +35,11 @@
     };
   platform::Node node(std::move(config), say, make_sink);
   node.config_path = settings.config;
+  node.on_counters([&] {
+    std::vector<log::Field> fields{{"open", node.engine().held()}, {"links", node.caches().links()}};
+    for (const auto& [name, value] : core::fields(node.engine().counters())) fields.emplace_back(name, value);
+    log.record("router", log::Level::info, "counters", fields);
+  });
   std::unique_ptr<Routes> routes;
   if (!settings.routes_file.empty()) routes = std::make_unique<Routes>(node, settings.routes_file, log);
   std::unique_ptr<signed_urls::HttpFront> links;
--- a/src/core/counters.cpp
+++ b/src/core/counters.cpp
@@ -4,6 +4,39 @@
 
 namespace alderspur::core {
 
+std::vector<std::pair<const char*, std::uint64_t>> fields(const Counters& c) {
+  return {{"taken", c.taken},
+          {"sent", c.sent},
+          {"probes", c.probes},
+          {"served", c.served},
+          {"unchanged", c.unchanged},
+          {"refused", c.refused},
+          {"failed", c.failed},
+          {"withdrawn", c.withdrawn},
+          {"attempts_ok", c.attempts_ok},
+          {"attempts_miss", c.attempts_miss},
+          {"attempts_full", c.attempts_full},
+          {"attempts_error", c.attempts_error},
+          {"attempts_timeout", c.attempts_timeout},
+          {"attempts_unconnected", c.attempts_unconnected},
+          {"attempts_reset", c.attempts_reset},
+          {"attempts_cancelled", c.attempts_cancelled},
+          {"late_answers", c.late_answers},
+          {"stale_answers", c.stale_answers},
+          {"purges", c.purges},
+          {"fleet_updates", c.fleet_updates},
+          {"bad_frames", c.bad_frames},
+          {"bad_requests", c.bad_requests},
+          {"bad_answers", c.bad_answers},
+          {"bad_tokens", c.bad_tokens},
+          {"accepts_put_off", c.accepts_put_off},
+          {"slow_readers", c.slow_readers},
+          {"silent_links", c.silent_links},
+          {"silent_clients", c.silent_clients},
+          {"idle_clients", c.idle_clients},
+          {"too_much", c.too_much}};
+}
+
 std::string text(const Counters& c) {
   const auto n = [](std::uint64_t v) { return static_cast<unsigned long long>(v); };
   char out[1024];
--- a/src/core/counters.h
+++ b/src/core/counters.h
@@ -3,6 +3,8 @@
 
 #include <cstdint>
 #include <string>
+#include <utility>
+#include <vector>
 
 namespace alderspur::core {
 
@@ -17,6 +19,8 @@
                 too_much = 0;
 };
 
+// All of them by their names, for records of logs.
+std::vector<std::pair<const char*, std::uint64_t>> fields(const Counters& counters);
 // One line with all of them.
 std::string text(const Counters& counters);
 
--- a/src/log/log.cpp
+++ b/src/log/log.cpp
@@ -109,7 +109,7 @@
 }
 
 void Log::record(std::string_view subsystem, Level level, std::string_view event,
-                 std::initializer_list<Field> fields) {
+                 const std::vector<Field>& fields) {
   if (!enabled(subsystem, level)) return;
   const core::Time now = clock_();
   const std::lock_guard lock(mutex_);
@@ -135,7 +135,7 @@
 }
 
 std::string Log::line(core::Time now, std::string_view subsystem, Level level, std::string_view event,
-                      std::initializer_list<Field> fields, std::uint64_t held_back) const {
+                      const std::vector<Field>& fields, std::uint64_t held_back) const {
   const bool json = settings_.form == Form::json;
   std::string out = json ? fmt::format(R"({{"time":"{}","level":"{}","subsystem":"{}","event":"{}")",
                                        time_text(now), word(level), subsystem, event)
--- a/src/log/log.h
+++ b/src/log/log.h
@@ -8,13 +8,13 @@
 
 #include <cstdint>
 #include <functional>
-#include <initializer_list>
 #include <map>
 #include <memory>
 #include <mutex>
 #include <string>
 #include <string_view>
 #include <variant>
+#include <vector>
 
 #include "core/deadlines.h"
 
@@ -49,7 +49,7 @@
   explicit Log(const Settings& settings, Sink sink = {}, std::function<core::Time()> clock = {});
   ~Log();
   void record(std::string_view subsystem, Level level, std::string_view event,
-              std::initializer_list<Field> fields = {});
+              const std::vector<Field>& fields = {});
   void flush();  // says what was held back and not yet told
   bool enabled(std::string_view subsystem, Level level) const;
 
@@ -60,7 +60,7 @@
     std::uint64_t held_back = 0;
   };
   std::string line(core::Time now, std::string_view subsystem, Level level, std::string_view event,
-                   std::initializer_list<Field> fields, std::uint64_t held_back) const;
+                   const std::vector<Field>& fields, std::uint64_t held_back) const;
   void write(Level level, const std::string& line);
   class Out;
 
--- a/src/platform/node.cpp
+++ b/src/platform/node.cpp
@@ -47,6 +47,7 @@
 }
 
 void Node::say_counters() {
+  if (counted_) return counted_();
   say_("counters", "open " + std::to_string(engine_.held()) + ", connections to servers " +
                        std::to_string(caches_.links()) + "; " + core::text(engine_.counters()));
 }
--- a/src/platform/node.h
+++ b/src/platform/node.h
@@ -32,6 +32,8 @@
 
   Node(config::Config config, Say say, const MakeSink& make_sink = {});
   void add(Part part) { parts_.push_back(std::move(part)); }
+  // In place of saying the counters in one line, on SIGUSR1 and at the end.
+  void on_counters(std::function<void()> then) { counted_ = std::move(then); }
   void on_reload(std::function<void()> then) { reloaded_ = std::move(then); }
   void run();
   void turn();  // of the loop, for whoever drives it by hand
@@ -60,7 +62,7 @@
   Board board_;
   RpcFront front_;
   std::vector<Part> parts_;
-  std::function<void()> reloaded_;
+  std::function<void()> reloaded_, counted_;
   core::Time leave_at_ = 0;
 };
 
