Probe parents only in doubt, spare full ones, and hold nobody for cold who never restarted

Each parent then has hundreds of fetches waiting and answers probes 'red', at once or after 250 ms.

At fault: choice.cpp look() (a clock for parents), on(Probed) (one probe past 250 ms is silence), answered() (silence means a restart); caches.cpp end_probe() (a 'red' word counts as no word, a late one is dropped).

Now a parent is looked at while a fill by it is late, and is out after four probes without a word. A word that it is full spares it for a while, calling nothing off. A word by a connection that was up before the silence proves the same process: not cold. Further probes of a server that does not answer share two connections.

--- a/include/alderspur/router.h
+++ b/include/alderspur/router.h
@@ -64,7 +64,7 @@
   std::vector<std::uint32_t> routers_by_location;
   std::vector<ClassSettings> classes;
   std::uint32_t max_attempts = 1;
-  bool may_cancel = false, may_duplicate = false, may_probe = false;
+  bool may_cancel = false, may_probe = false;
   bool retry_after = false;  // clients receive the advice
   Time max_retry_after = 0;
   bool must_ask_for_fleet = false;  // fleet changes come only after Subscribe or Refresh
@@ -150,9 +150,12 @@
 };
 struct Probed {
   ServerId server{};
-  bool ok = false;
+  bool ok = false;  // well and not full
   Time elapsed = 0;
   Report report{};
+  Time up = 0;         // how long the connection that it came by has been up; 0: not told
+  bool lives = false;  // not ok, but it said so itself: full, perhaps, not silent
+  bool late = false;   // told as failed before, when its time was up: here is its word after all
 };
 struct TimerDue {
   TimerId timer{};
--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -27,11 +27,11 @@
 constexpr double kHeldLeast = 4, kReportLearn = 0.2;  // requests held, never too many; weight of a report
 constexpr Time kReportOld = 4 * kSecond;              // reports older than this say nothing
 constexpr int kCalm = 2;               // attempts out, at most, where a hit's time tells its sending time
-constexpr double kHedgeDevs = 3;       // deviations above the mean: worth a second copy
-constexpr double kHedgeFrom = 0.4;     // of the aim: nothing is late earlier
+constexpr double kLateDevs = 3;        // deviations above the mean: late
+constexpr double kLateFrom = 0.4;      // of the aim: nothing is late earlier
 constexpr Time kLeastTime = 30 * kMs;  // less than this left: no attempt can finish
 // Attempts a request, and how many can be saved up.
-constexpr double kRetryPart = 0.15, kRetrySaved = 6, kHedgePart = 0.06, kHedgeSaved = 6;
+constexpr double kRetryPart = 0.15, kRetrySaved = 6;
 // Admission: a limit on sending seconds out; each answer moves it by kLimitStep of its distance from the aim.
 constexpr double kCrowdAim = 0.3, kCrowdMost = 2, kLimitStep = 0.03;
 constexpr double kLimitLeast = 0.5;  // seconds for a cache
@@ -43,7 +43,8 @@
 constexpr int kHardFails = 2;                         // refused, reset or silent in a row: out
 // Errors in a window, their part of all answers, over the peers' part or alone: who stands out is out.
 constexpr double kSoftFails = 3, kSoftPart = 0.25, kSoftOver = 2, kSoftAlone = 0.5;
-constexpr Time kParentLook = 500 * kMs;               // parents' silence shows nowhere else: probed so often
+constexpr Time kParentLook = kSecond;                 // between two looks at a parent whose fills are late
+constexpr int kUnheard = 4;                           // probes in a row that a parent leaves unanswered: out
 constexpr Time kLook = 100 * kMs, kMute = 300 * kMs;  // a server with work of ours, silent so long, is probed
 constexpr Time kOwnWord = 3 * kMs;  // turned away sooner: by the cache itself, no source was asked
 constexpr int kSourceFails = 3;     // fills failed in a row by one source: passed over
@@ -97,7 +98,7 @@
   std::map<std::uint32_t, Timer> timers_;
   std::uint32_t next_timer_ = 1;
   std::vector<Learned> learned_;
-  Bucket retries_{kRetrySaved / 2}, hedges_{kHedgeSaved / 2};
+  Bucket retries_{kRetrySaved / 2};
   Limit door_, fetches_;                // of the location's caches; of what may wait for the origin
   bool noted_ = false;                  // answers say what became of fills
   double fetch_out_ = 0, pressed_ = 0;  // sending seconds waiting for the origin; part refused lately
@@ -235,10 +236,7 @@
   Member& member(Object& o, ServerId id) {
     for (auto& m : o.members)
       if (m.id == id) return m;
-    o.members.push_back({});
-    o.members.back().id = id;
-    o.members.back().joined = now_;
-    return o.members.back();
+    return o.members.emplace_back(Member{id, {}, {}, {}, now_});
   }
   std::size_t cap() const { return std::min(caches_.size(), std::max<std::size_t>(2, caches_.size() / 2)); }
 
@@ -369,6 +367,7 @@
   }
   void hard_failure(Node& n, bool silent) {
     if (++n.streak < kHardFails && !n.on_trial) return;
+    if (silent && !n.was_silent) n.silent_from = std::max(n.last_answer, n.idle_until);
     n.was_silent |= silent;
     eject(n);
   }
@@ -383,12 +382,11 @@
   // Danger: a cache that went silent and is back has restarted unseen, so it is cold and empty.
   void answered(Node& n) {
     if (n.was_silent && n.at.role != Role::origin) chill(n, now_, false);
+    n.unheard = 0;
     n.was_silent = n.on_trial = false;
     n.streak = n.ejections = 0;
   }
-  static bool fill_failed(const Outcome& o) {
-    return o.note >= Note::source_refused;
-  }  // not the cache itself
+  static bool fill_failed(const Outcome& o) { return o.note >= Note::source_refused; }  // not the cache
   void judge(Node& n, const Request& q, const Attempt& a, const Outcome& o) {
     const bool silent = o.result == Result::timeout || o.result == Result::connect_failed ||
                         o.result == Result::cancelled || o.result == Result::moot ||
@@ -481,7 +479,7 @@
   bool may_repeat_at(const Life& life, const Node& n) const {
     const auto& c = cls(life.q);
     for (const auto& a : life.attempts) {
-      if (a.out && !set_.may_duplicate) return false;
+      if (a.out) return false;
       if (a.never_ran || c.repeat == Repeat::safe) continue;
       if (c.repeat == Repeat::unsafe || now_ - a.sent >= c.dedup_window) return false;
       if (c.dedup_scope != DedupScope::all && a.location != n.at.location) return false;
@@ -604,8 +602,9 @@
     door_.learn(limit_step(), std::clamp(still_ + kStillRoom, kCrowdAim, kStillMost) - crowd, least,
                 work_out());
   }
-  bool others_out(const Life& life) const {
-    return std::any_of(life.attempts.begin(), life.attempts.end(), [](auto& a) { return a.out; });
+  // Never two at once: only the last attempt can be out.
+  static const Attempt* out(const Life& life) {
+    return !life.attempts.empty() && life.attempts.back().out ? &life.attempts.back() : nullptr;
   }
   void retry(Life& life, const Node* again, bool free = false) {
     if (life.deadline - now_ < kLeastTime || !(free || retries_.spend()) || !attempt(life, again))
@@ -623,22 +622,22 @@
     }
     call_off(life);
   }
-  // Danger: a second copy's success would hide that the first went unanswered.
   void call_off(Life& life) {
-    for (std::size_t i = 0; i < life.attempts.size(); ++i) {
-      const auto& a = life.attempts[i];
-      if (!a.out) continue;
-      Node* n = find(a.server);
-      if (n && n->last_answer < a.sent && now_ - a.sent >= late_after(life.q)) hard_failure(*n, true);
-      if (set_.may_cancel) act(Cancel{life.q.id, {static_cast<std::uint32_t>(i)}});
-    }
+    const Attempt* a = out(life);
+    if (Node* n = a ? find(a->server) : nullptr;
+        n && n->last_answer < a->sent && now_ - a->sent >= late_after(life.q))
+      hard_failure(*n, true);
+    if (a && set_.may_cancel) cancel(life);
+  }
+  void cancel(const Life& life) {
+    act(Cancel{life.q.id, {static_cast<std::uint32_t>(life.attempts.size() - 1)}});
   }
   void finish(Life& life) {
     if (life.open) {
       life.open = false;
       call_off(life);
     }
-    if (!others_out(life)) lives_.erase(life.q.id);
+    if (!out(life)) lives_.erase(life.q.id);
   }
 
   // ---- Events ----
@@ -650,7 +649,6 @@
     life.q = q;
     life.deadline = now_ + std::max<Time>(q.budget, 0);
     retries_.earn(kRetryPart, kRetrySaved);
-    hedges_.earn(kHedgePart, kHedgeSaved);
     if (known(q.size_kb) > 0) learned(q).size.learn(q.size_kb);
     Object& o = objects_[q.object];
     const std::uint64_t bit = 1ULL << (q.part % 64);
@@ -664,23 +662,14 @@
       give_up(life);
       return finish(life);
     }
-    if (set_.may_duplicate && cls(q).repeat == Repeat::safe) wake(now_ + late_after(q), Wake::hedge, q.id);
   }
   // Danger: slow fills are no silence where a router hears little; the mark moves with their times.
   Time late_after(const Request& q) {
     const auto& pace = learned(q).pace;
-    const double late = pace.any ? pace.value + kHedgeDevs * pace.dev : 1;
-    return std::max(static_cast<Time>(kHedgeFrom * static_cast<double>(aim(q))),
+    const double late = pace.any ? pace.value + kLateDevs * pace.dev : 1;
+    return std::max(static_cast<Time>(kLateFrom * static_cast<double>(aim(q))),
                     static_cast<Time>(usual(q) * late));
   }
-  void hedge(Life& life) {
-    if (!life.open || life.begun || life.hedged || !others_out(life)) return;
-    for (const auto& a : life.attempts)
-      if (const Node* n = find(a.server); a.out && n && n->last_answer >= a.sent) return;  // slow, not silent
-    if (life.deadline - now_ < kLeastTime || !hedges_.spend()) return;
-    life.hedged = true;
-    attempt(life);
-  }
   void on(const Outcome& o) {
     const auto it = lives_.find(o.id);
     if (it == lives_.end() || o.attempt.value >= it->second.attempts.size()) return;
@@ -709,7 +698,7 @@
       learned(life.q).pace.learn(static_cast<double>(o.elapsed) / std::max(1.0, usual(life.q)));
     }
     if (o.finished || o.result == Result::ok) return finish(life);
-    if (life.open && !others_out(life)) {
+    if (life.open && !out(life)) {
       // Danger: behind every parent stands the same origin; each router's retries help to push it over.
       const bool no_use = o.note == Note::source_lacks || o.result == Result::moot ||
                           (o.note == Note::origin_failed && (life.stale_ok || !cls(life.q).stale_grace));
@@ -741,12 +730,7 @@
     return n;
   }
   void on(const StreamBegun& b) {
-    const auto it = lives_.find(b.id);
-    if (it == lives_.end() || !it->second.open || b.attempt.value >= it->second.attempts.size()) return;
-    const auto& attempts = it->second.attempts;
-    it->second.begun = true;
-    for (std::uint32_t i = 0; i < attempts.size(); ++i)
-      if (attempts[i].out && i != b.attempt.value && set_.may_cancel) act(Cancel{b.id, {i}});
+    if (const auto it = lives_.find(b.id); it != lives_.end()) it->second.begun = it->second.open;
   }
   void on(const ClientLeft& c) {
     if (const auto it = lives_.find(c.id); it != lives_.end()) finish(it->second);
@@ -759,17 +743,29 @@
   }
   void on(const Probed& p) {
     Node* n = find(p.server);
-    if (!n || !n->probing) return;
-    n->probing = false;
+    if (!n || (!n->probing && !p.late)) return;
+    n->probing = n->probing && p.late;
+    if (p.ok || p.lives) heard(*n, p);
     n->proved = p.ok;
-    if (p.ok) n->last_answer = now_;
-    if (p.ok && n->at.role == Role::parent && n->on_trial) answered(*n);
-    if (p.ok || (!n->on_trial && n->last_answer >= n->probed_at)) return;
-    const bool fresh_news = !n->on_trial;
+    if (p.ok) return;
+    const bool parent = n->at.role == Role::parent, fresh_news = !n->on_trial;
+    if (p.lives) return parent || n->on_trial ? eject(*n) : void();  // full: spared a while, not lost
+    if (fresh_news && n->last_answer >= n->probed_at) return;
+    if (!n->was_silent && n->unheard == 0) n->silent_from = n->probed_at;
+    // Danger: behind a long queue a parent looks dead to all routers at once, who then push over the next.
+    if (fresh_news && parent && ++n->unheard < kUnheard) return check(*n);
     n->was_silent |= fresh_news;
     eject(*n);
     if (fresh_news) evacuate(*n);
   }
+  // Danger: what only seemed silent would be held for cold by all. A connection from before proves that the
+  // same process lives.
+  void heard(Node& n, const Probed& p) {
+    n.last_answer = now_;
+    n.unheard = 0;
+    if (p.up > now_ - n.silent_from) n.was_silent = false;
+    if (p.ok && n.at.role == Role::parent && n.on_trial) answered(n);
+  }
   void on(const TimerDue& t) {
     const auto it = timers_.find(t.timer.value);
     if (it == timers_.end()) return;
@@ -780,15 +776,20 @@
     if (timer.why == Wake::ask) return act(Subscribe{});
     const auto found = lives_.find(timer.id);
     if (found == lives_.end()) return;
-    if (timer.why == Wake::hedge) return hedge(found->second);
     if (found->second.open && !found->second.begun) give_up(found->second);
     finish(found->second);
   }
   // Danger: a cache that falls silent holds each request until its deadline where no second copy is allowed.
   void look() {
     wake(now_ + kLook, Wake::look);
-    for (auto* p : parents_)
-      if (!p->probing && now_ >= p->probed_at + kParentLook && now_ >= p->blocked_until) check(*p);
+    // Danger: a hundred routers that look at every parent by the clock load it more than they learn.
+    for (const auto& [id, life] : lives_) {
+      const Attempt* a = out(life);
+      Node* s = a && a->fetching && now_ > a->sent + late_after(life.q) ? find(a->source) : nullptr;
+      if (s && s->at.role == Role::parent && !s->probing && !s->on_trial &&
+          now_ >= std::max(s->probed_at, s->last_answer) + kParentLook)
+        check(*s);
+    }
     for (auto* n : caches_)
       if (n->out > 0 && !n->probing && !n->on_trial && now_ > std::max(n->idle_until, n->last_answer) + kMute)
         check(*n);
@@ -801,15 +802,12 @@
   // Calls off what a silent cache holds and may be sent elsewhere; the outcomes bring the next attempts.
   void evacuate(Node& n) {
     if (!set_.may_cancel) return;
-    std::vector<std::pair<RequestId, std::uint32_t>> held;
-    for (auto& [id, life] : lives_)
-      for (std::uint32_t i = 0; i < life.attempts.size(); ++i)
-        if (const auto& a = life.attempts[i]; a.out &&
-                                              (a.server == n.at.id || (a.source == n.at.id && a.fetching)) &&
-                                              life.open && !life.begun && movable(life, a))
-          held.push_back({id, i});
+    std::vector<RequestId> held;
+    for (const auto& [id, life] : lives_)
+      if (const Attempt* a = out(life); a && life.open && !life.begun && movable(life, *a))
+        if (a->server == n.at.id || (a->source == n.at.id && a->fetching)) held.push_back(id);
     std::sort(held.begin(), held.end());
-    for (const auto& [id, i] : held) act(Cancel{id, {i}});
+    for (const auto& id : held) cancel(lives_.at(id));
   }
   bool movable(const Life& life, const Attempt& a) const {
     const auto& c = cls(life.q);
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -89,7 +89,6 @@
     s.classes.push_back(read_class(item(classes, i), domain, i));
   s.max_attempts = count(at(limits, "max-attempts"), 1);
   s.may_cancel = flag(at(limits, "may-cancel"));
-  s.may_duplicate = flag(at(limits, "may-duplicate"));
   s.may_probe = flag(at(limits, "probing"));
   s.retry_after = flag(at(limits, "retry-after"));
   s.max_retry_after = micros(at(limits, "max-retry-after"));
--- a/src/core/engine.cpp
+++ b/src/core/engine.cpp
@@ -108,8 +108,9 @@
   waiting_.push_back({module::Outcome{}, it->second.ticket, attempt, reply});
 }
 
-void Engine::probed(module::ServerId server, bool ok, Time elapsed, const module::Report& report) {
-  waiting_.push_back({module::Probed{server, ok, elapsed, report}, 0, 0, {}});
+void Engine::probed(module::ServerId server, bool ok, Time elapsed, const module::Report& report, Time up,
+                    bool lives, bool late) {
+  waiting_.push_back({module::Probed{server, ok, elapsed, report, up, lives, late}, 0, 0, {}});
 }
 void Engine::fleet(module::FleetUpdate update) {
   ++counters_.fleet_updates;
--- a/src/core/engine.h
+++ b/src/core/engine.h
@@ -88,7 +88,8 @@
   void written(AttemptId attempt);              // whole
   bool was_written(AttemptId attempt) const;
   void reply(AttemptId attempt, const Reply& reply);
-  void probed(module::ServerId server, bool ok, Time elapsed, const module::Report& report);
+  void probed(module::ServerId server, bool ok, Time elapsed, const module::Report& report, Time up = 0,
+              bool lives = false, bool late = false);
   // From the board.
   void fleet(module::FleetUpdate update);
   void purge(std::optional<std::uint64_t> object, std::uint32_t group, Time unix_time);
--- a/src/platform/caches.cpp
+++ b/src/platform/caches.cpp
@@ -13,6 +13,9 @@
 namespace {
 
 constexpr core::Time kProbeTime = 250'000, kSweep = 1'000'000;
+// A probe is told as failed at kProbeTime, but its word is waited for so much longer: it may prove a queue.
+constexpr core::Time kLateWord = 3'000'000;
+constexpr int kDoubted = 2;  // connections to a server on which probes wait; further probes share the last
 constexpr core::Time kSilence = 300'000;  // not a byte for so long while an attempt waited: perhaps dead
 constexpr std::size_t kBurntMost = 512;
 // Danger: a connection that is reset or spoilt takes all that is open on it along. So many share one before
@@ -28,7 +31,8 @@
 struct Caches::Open {
   AttemptId attempt = 0;  // 0: a probe
   core::Time sent = 0;
-  int tries = 1;  // of a probe
+  int tries = 1;         // of a probe
+  bool overdue = false;  // a probe told as failed
   core::Deadlines::Key timeout{};
 };
 struct Caches::Link {
@@ -45,7 +49,9 @@
   std::unordered_set<std::string> burnt;
   core::Deadlines::Key dial{};
   bool retired = false, dead = false;
-  core::Time used = 0;
+  core::Time used = 0, up = 0;  // up: since when it can be written to
+  core::Time doubted = 0;       // a probe was overdue then, and nothing came
+  bool heard() const { return !doubted || connection->last_read > doubted; }
   std::size_t load() const { return open.size() + waiting.size() + probes.size(); }
 };
 struct Caches::Server {
@@ -109,7 +115,7 @@
   const std::string key(id);
   for (auto& link : server.links) {
     if (link->dead || link->retired || link->load() >= config_.streams) continue;
-    if (link->burnt.contains(key) || link->open.contains(key) || link->checked) continue;
+    if (link->burnt.contains(key) || link->open.contains(key) || link->checked || !link->heard()) continue;
     const auto rank = [](const Link& l) { return std::pair(l.connection->connecting(), l.load()); };
     if (!best || rank(*link) < rank(*best)) best = link.get();
   }
@@ -175,6 +181,7 @@
   if (link.dial.first == 0 || link.connection->connecting()) return;
   deadlines_.clear(link.dial);
   link.dial = {};
+  link.up = engine_.now();
   const auto waiting = std::move(link.waiting);
   link.waiting.clear();
   for (const AttemptId attempt : waiting) put(link, attempt);
@@ -258,6 +265,7 @@
   for (const auto& [tag, o] : open) {
     if (!o.attempt) {
       deadlines_.clear(o.timeout);
+      if (o.overdue) continue;
       // Danger: connections are reset while the machine is well. Only a refused one, or the next, says more.
       const auto id = link.server->member.server.id;
       if (why != net::Closed::refused && o.tries < kProbeTries) probe(id, o.sent, o.tries + 1);
@@ -313,32 +321,51 @@
 void Caches::probe(al::ServerId id) { probe(id, engine_.now(), 1); }
 
 // Danger: on a connection that a spoilt answer has silenced, a probe would say that the machine is silent.
+// Danger: a dial for each probe of a silent server, from every router, is a load of its own.
+Caches::Link* Caches::link_for_probe(Server& server, bool fresh) {
+  Link *best = nullptr, *doubted = nullptr;
+  std::size_t waiting = 0;
+  for (auto& l : server.links) {
+    if (l->dead || l->retired) continue;
+    if (!l->heard() || l->connection->connecting()) ++waiting, doubted = l.get();
+    const bool quiet = !l->open.empty() && l->connection->last_read <= engine_.now() - kQuiet;
+    if (!fresh && l->heard() && !l->checked && !l->connection->connecting() && !quiet) best = l.get();
+  }
+  if (best) return best;
+  return waiting < kDoubted ? dial(server) : doubted;
+}
+
 void Caches::probe(al::ServerId id, core::Time since, int tries) {
   const auto it = servers_.find(id);
   std::string tag("p");
   tag += std::to_string(++last_probe_);
-  Link* link = nullptr;
-  if (it != servers_.end()) {
-    for (auto& l : it->second->links) {
-      const bool heard = l->open.empty() || l->connection->last_read > engine_.now() - kQuiet;
-      const bool well = !l->dead && !l->retired && !l->checked && !l->connection->connecting() && heard;
-      if (well && tries == 1) link = l.get();
-    }
-    if (!link) link = dial(*it->second);
-  }
+  Link* link = it != servers_.end() ? link_for_probe(*it->second, tries > 1) : nullptr;
   if (!link) return engine_.probed(id, false, engine_.now() - since, {});
   Open& open = link->open[tag];
   link->used = engine_.now();
   open.sent = since;
   open.tries = tries;
-  open.timeout = deadlines_.set(since + kProbeTime, [this, link, tag] {
-    end_probe(*link, tag, false, {});
-    if (link->connection->last_read < engine_.now() - kProbeTime) retire(*link);
-  });
+  open.timeout = deadlines_.set(since + kProbeTime, [this, link, tag] { overdue(*link, tag); });
   if (link->connection->connecting()) link->probes.push_back(tag);
   else link->connection->write("stats " + tag + "\r\n");
 }
 
+void Caches::overdue(Link& link, const std::string& tag) {
+  const auto it = link.open.find(tag);
+  if (it == link.open.end()) return;
+  const core::Time now = engine_.now();
+  it->second.overdue = true;
+  it->second.timeout = deadlines_.set(now + kLateWord, [this, l = &link, tag] { forget(*l, tag); });
+  if (link.connection->last_read <= it->second.sent) link.doubted = now;
+  engine_.probed(link.server->member.server.id, false, now - it->second.sent, {});
+}
+
+void Caches::forget(Link& link, const std::string& tag) {
+  std::erase(link.probes, tag);
+  link.open.erase(tag);
+  if (!link.heard()) retire(link);
+}
+
 void Caches::end_probe(Link& link, const std::string& tag, bool ok, std::string_view report) {
   const auto it = link.open.find(tag);
   if (it == link.open.end()) return;
@@ -346,7 +373,9 @@
   deadlines_.clear(open.timeout);
   std::erase(link.probes, tag);
   link.open.erase(it);
-  engine_.probed(link.server->member.server.id, ok, engine_.now() - open.sent, report_of(report));
+  const core::Time now = engine_.now(), up = link.up ? now - link.up : 0;
+  engine_.probed(link.server->member.server.id, ok, now - open.sent, report_of(report), up, true,
+                 open.overdue);
 }
 
 std::string Caches::address(al::ServerId server) const {
--- a/src/platform/caches.h
+++ b/src/platform/caches.h
@@ -54,6 +54,9 @@
   void probe(alderspur::ServerId server, core::Time since, int tries);
   void watch_links();
   void watch(Link& link);
+  Link* link_for_probe(Server& server, bool fresh);
+  void overdue(Link& link, const std::string& tag);
+  void forget(Link& link, const std::string& tag);
   void end_probe(Link& link, const std::string& tag, bool ok, std::string_view report);
   void sweep();
 
--- a/src/state.h
+++ b/src/state.h
@@ -16,6 +16,8 @@
   Time blocked_until = 0, last_answer = -1;
   bool on_trial = false, was_silent = false, probing = false, proved = false;
   Time probed_at = 0, idle_until = 0, reset_at = 0;
+  Time silent_from = 0;  // nothing was heard from then on
+  int unheard = 0;       // probes failed in a row
   int out = 0;
   Mean held;  // requests it holds, by its reports
   Time held_at = 0;
@@ -52,7 +54,7 @@
 struct Life {
   Request q;
   Time deadline = 0;
-  bool open = true, unseen = true, begun = false, hedged = false, stale_ok = false;
+  bool open = true, unseen = true, begun = false, stale_ok = false;
   std::vector<Attempt> attempts;
   std::vector<ServerId> bad_sources;
   ServerId suspect, asked_again;  // a source that may have failed; the cache that is asked once more without
@@ -60,7 +62,7 @@
 struct Learned {         // of a class
   Mean size, hit, pace;  // KB; seconds of hits; elapsed over usual time
 };
-enum class Wake { sweep, look, deadline, hedge, ask };
+enum class Wake { sweep, look, deadline, ask };
 struct Timer {
   Wake why = Wake::sweep;
   RequestId id{};
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -296,6 +296,24 @@
   EXPECT_TRUE(again);
 }
 
+// Guards against a full box passing for a dead one, and against a dial for each probe of it.
+TEST_F(Watched, AProbesLateWordIsHeardAndFurtherProbesDialOnlyOnce) {
+  const auto id = config.notices[0].members[0].server.id;
+  caches->probe(id);
+  ASSERT_TRUE(until([&] { return box[0].count("stats") == 1; }));
+  for (std::size_t i = 1; i <= 5; ++i) {
+    const auto end = net::unix_now() + 260'000;  // past the time of the probe before
+    until([&] { return net::unix_now() > end; });
+    caches->probe(id);
+    ASSERT_TRUE(until([&] { return box[0].count("stats") == i + 1; }));
+  }
+  EXPECT_EQ(box[0].connections.size(), 2u);
+  const auto late = engine->counters().late_answers;
+  for (auto& cmd : box[0].commands) Box::answer(cmd, "overload");
+  settle();
+  EXPECT_EQ(engine->counters().late_answers, late) << "each word was waited for";
+}
+
 // Guards against one reset taking all that is open at a box along.
 TEST_F(Platform, ABusyBoxIsSentRequestsOnSeveralConnections) {
   auto c = client(front->address());
