Look at caches and connections after an unusual silence, not after a fixed time

With 7.6 requests a second for a router and 4 caches, a connection mostly carries one request, and the median answer takes 220 ms: every second request was a probe. Router::look() asks at 300 ms likewise.

At fault: caches.cpp watch(), kQuiet; choice.cpp look(), kMute. Both were set where a cache hears tens of requests a second from one router and a quarter of a second without a word means much.

Both now learn how long it usually takes to the next word (mean and mean deviation, over all caches of one router) and ask only after an unusual silence; the old times stay as the least. With many requests on a connection nothing changes.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -43,9 +43,10 @@
 constexpr int kHardFails = 2;                         // refused, reset or silent in a row: out
 // Errors in a window, their part of all answers, over the peers' part or alone: who stands out is out.
 constexpr double kSoftFails = 3, kSoftPart = 0.25, kSoftOver = 2, kSoftAlone = 0.5;
-constexpr Time kParentLook = kSecond;                 // between two looks at a parent whose fills are late
-constexpr int kUnheard = 4;                           // probes in a row that a parent leaves unanswered: out
-constexpr Time kLook = 100 * kMs, kMute = 300 * kMs;  // a server with work of ours, silent so long, is probed
+constexpr Time kParentLook = kSecond;  // between two looks at a parent whose fills are late
+constexpr int kUnheard = 4;            // probes in a row that a parent leaves unanswered: out
+// A cache with work of ours is probed when silent for so long, and longer than is usual before a word.
+constexpr Time kLook = 100 * kMs, kMute = 300 * kMs;
 constexpr Time kOwnWord = 3 * kMs;  // turned away sooner: by the cache itself, no source was asked
 constexpr int kSourceFails = 3;     // fills failed in a row by one source: passed over
 constexpr Time kBackoff = kSecond, kBackoffMost = 8 * kSecond;  // first and longest ejection
@@ -104,6 +105,7 @@
   double fetch_out_ = 0, pressed_ = 0;  // sending seconds waiting for the origin; part refused lately
   double still_ = 0;                    // the crowd felt at the least work
   Mean cost_;                           // sending seconds for a unit of worth
+  Mean gap_;                            // from being asked, or a word, to the next word of a cache
   struct Carry {
     double mean = 0, most = 0;
   } cache_carry_, parent_carry_;  // transfers that warm ones do for us, remembered
@@ -388,10 +390,11 @@
   }
   static bool fill_failed(const Outcome& o) { return o.note >= Note::source_refused; }  // not the cache
   void judge(Node& n, const Request& q, const Attempt& a, const Outcome& o) {
-    const bool silent = o.result == Result::timeout || o.result == Result::connect_failed ||
-                        o.result == Result::cancelled || o.result == Result::moot ||
-                        o.result == Result::reset;
-    if (!silent) n.last_answer = now_, n.answers.add(now_, 1);
+    const bool word = o.result == Result::ok || o.result == Result::error || o.result == Result::full ||
+                      o.result == Result::miss;
+    if (word && n.at.role == Role::cache)
+      gap_.learn(static_cast<double>(now_ - std::max(n.idle_until, n.last_answer)));
+    if (word) n.last_answer = now_, n.answers.add(now_, 1);
     if (std::isfinite(o.report.inflight) && o.report.inflight >= 0)
       n.held.learn(o.report.inflight, kReportLearn), n.held_at = now_;
     if (o.result == Result::ok || o.result == Result::miss || fill_failed(o)) return answered(n);
@@ -611,8 +614,7 @@
       give_up(life);
   }
   void give_up(Life& life) {
-    if (!life.open) return;
-    life.open = false;
+    if (!std::exchange(life.open, false)) return;
     if (may_refuse(life)) {
       const double pressed = 1 + kPressed * pressed_ + chance();
       const Time wait = static_cast<Time>(static_cast<double>(kRetryAfter) * pressed);
@@ -633,10 +635,7 @@
     act(Cancel{life.q.id, {static_cast<std::uint32_t>(life.attempts.size() - 1)}});
   }
   void finish(Life& life) {
-    if (life.open) {
-      life.open = false;
-      call_off(life);
-    }
+    if (std::exchange(life.open, false)) call_off(life);
     if (!out(life)) lives_.erase(life.q.id);
   }
 
@@ -790,8 +789,10 @@
           now_ >= std::max(s->probed_at, s->last_answer) + kParentLook)
         check(*s);
     }
+    // Danger: to one of many routers each cache is silent for long. What is usual tells, not a fixed time.
+    const Time mute = std::max(kMute, static_cast<Time>(gap_.value + kLateDevs * gap_.dev));
     for (auto* n : caches_)
-      if (n->out > 0 && !n->probing && !n->on_trial && now_ > std::max(n->idle_until, n->last_answer) + kMute)
+      if (n->out > 0 && !n->probing && !n->on_trial && now_ > std::max(n->idle_until, n->last_answer) + mute)
         check(*n);
   }
   void check(Node& n) {
@@ -826,9 +827,8 @@
     view();
     for (auto& [id, n] : nodes_) {
       warm_up(n);
-      if (!awaits_probe(n) || !n.on_trial || n.probing || n.proved || !n.ready() || now_ < n.blocked_until)
-        continue;
-      check(n);
+      if (awaits_probe(n) && n.on_trial && !n.probing && !n.proved && n.ready() && now_ >= n.blocked_until)
+        check(n);
     }
   }
 };
--- a/src/platform/caches.cpp
+++ b/src/platform/caches.cpp
@@ -1,6 +1,7 @@
 #include "platform/caches.h"
 
 #include <algorithm>
+#include <cmath>
 #include <deque>
 
 #include "platform/lines.h"
@@ -22,8 +23,8 @@
 // another is opened beside it, up to so many to one server.
 constexpr std::size_t kShare = 3, kLinksMost = 6;
 constexpr int kProbeTries = 3;
-// A connection with work of ours on which nothing came for kQuiet is asked for a word; without one it is
-// lost.
+// A connection with work of ours on which nothing came for kQuiet, and for longer than is usual before a
+// word, is asked for one; without it, it is lost.
 constexpr core::Time kWatch = 50'000, kQuiet = 250'000, kWord = 300'000;
 
 }  // namespace
@@ -50,7 +51,8 @@
   core::Deadlines::Key dial{};
   bool retired = false, dead = false;
   core::Time used = 0, up = 0;  // up: since when it can be written to
-  core::Time doubted = 0;       // a probe was overdue then, and nothing came
+  core::Time heard_at = 0;
+  core::Time doubted = 0;  // a probe was overdue then, and nothing came
   bool heard() const { return !doubted || connection->last_read > doubted; }
   std::size_t load() const { return open.size() + waiting.size() + probes.size(); }
 };
@@ -61,6 +63,14 @@
   bool touched = false;
 };
 
+void Caches::Gap::learn(core::Time t) {
+  constexpr double kWeight = 0.05;
+  const double x = static_cast<double>(t);
+  if (mean_ == 0) mean_ = x, deviation_ = x / 2;
+  deviation_ += kWeight * (std::abs(x - mean_) - deviation_);
+  mean_ += kWeight * (x - mean_);
+}
+
 Caches::Caches(net::Loop& loop, core::Deadlines& deadlines, core::Engine& engine,
                const config::Config& config)
     : loop_(loop),
@@ -211,6 +221,7 @@
 
 std::ptrdiff_t Caches::take(Link& link, std::string_view bytes) {
   touch(*link.server);
+  hear(link);
   const auto before = bytes.size();
   LineAnswer answer;
   for (;;) {
@@ -254,6 +265,17 @@
   }
 }
 
+// Danger: where a router sends little, most connections are quiet for long while they serve. A look at each
+// of those would be a probe for every second request.
+void Caches::hear(Link& link) {
+  const core::Time now = engine_.now();
+  core::Time oldest = now;
+  for (const auto& [id, o] : link.open)
+    if (o.attempt) oldest = std::min(oldest, o.sent);
+  if (oldest < now) gap_.learn(now - std::max(oldest, link.heard_at));
+  link.heard_at = now;
+}
+
 // A refused or hung connect, or a command not written whole, proves that nothing ran.
 void Caches::lost(Link& link, net::Closed why) {
   if (link.dead) return;
@@ -409,7 +431,7 @@
   for (const auto& [id, o] : link.open)
     if (o.attempt) oldest = std::min(oldest, o.sent);
   const core::Time quiet = now - std::max(oldest, link.connection->last_read);
-  if (quiet <= kQuiet) return;
+  if (quiet <= std::max(kQuiet, gap_.usual_most())) return;
   // Nothing can be asked behind half an answer.
   if (link.connection->unread() > 0 || (link.checked && now > link.checked + kWord)) {
     ++engine_.counters().silent_links;
--- a/src/platform/caches.h
+++ b/src/platform/caches.h
@@ -39,6 +39,15 @@
   struct Link;
   struct Server;
   struct Open;
+  // Times from being asked, or a word, to the next word on connections with work: mean and mean deviation.
+  class Gap {
+   public:
+    void learn(core::Time t);
+    core::Time usual_most() const { return static_cast<core::Time>(mean_ + 4 * deviation_); }
+
+   private:
+    double mean_ = 0, deviation_ = 0;
+  };
 
   void touch(Server& server);
   Link* pick(Server& server, std::string_view id);
@@ -47,6 +56,7 @@
   void come_up(Link& link);
   void mark_written(Link& link);
   std::ptrdiff_t take(Link& link, std::string_view bytes);
+  void hear(Link& link);
   void lost(Link& link, net::Closed why);
   void drop(Link& link);
   void retire(Link& link);
@@ -70,6 +80,7 @@
   std::unordered_map<core::AttemptId, Link*> where_;
   std::size_t link_count_ = 0, link_limit_;
   std::uint64_t last_probe_ = 0;
+  Gap gap_;
 };
 
 }  // namespace alderspur::platform
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -314,6 +314,29 @@
   EXPECT_EQ(engine->counters().late_answers, late) << "each word was waited for";
 }
 
+// Guards against a probe on every connection whose one request takes long, as most do where many routers
+// share the work.
+TEST_F(Watched, AConnectionIsNotAskedForAWordWhileItsSilenceIsUsual) {
+  const auto words = [&] { return box[0].count("alive") + box[1].count("alive"); };
+  std::size_t early = 0;
+  for (unsigned i = 1; i <= 8; ++i) {
+    auto c = client(front->address());
+    c->write(request(1, "asset", {{"ram", "90"}}));
+    ASSERT_TRUE(until([&] { return fetches() == i; }));
+    const auto end = net::unix_now() + 450'000;
+    until([&] { return net::unix_now() > end; });
+    for (auto& b : box)
+      for (auto& cmd : b.commands)
+        if (cmd.word == "alive") Box::answer(cmd, "green");
+    Box::answer(*fetch(i), "served", "slow");
+    ASSERT_TRUE(until([&] { return !answers(c->in).empty(); }));
+    if (i == 4) early = words();
+    watched.clear();
+  }
+  EXPECT_GT(early, 0u);
+  EXPECT_EQ(words(), early) << "the last four waited as the first did";
+}
+
 // Guards against one reset taking all that is open at a box along.
 TEST_F(Platform, ABusyBoxIsSentRequestsOnSeveralConnections) {
   auto c = client(front->address());
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -799,6 +799,34 @@
   }
   EXPECT_EQ(probes, 0);
 }
+// Guards against a probe for each slow answer where a router has one request at a cache at a time; a cache
+// that says nothing for longer than is usual is still found.
+TEST(Fleet, CachesAreLookedAtAfterAnUnusualSilenceOnly) {
+  auto s = site();
+  s.may_probe = true;
+  int probes = 0, found = 0;
+  const auto all = [](Bed& bed) {
+    int n = 0;
+    for (const auto& [id, count] : bed.probes) n += id.value <= 4 ? count : 0;
+    return n;
+  };
+  for (std::uint64_t seed = 1; seed <= 100; ++seed) {
+    Bed bed(s, fleet(), seed);
+    for (std::uint64_t o = 1; o <= 40; ++o) {
+      const auto id = bed.ask(o);
+      bed.advance((350 + 10 * static_cast<Time>(o * seed % 20)) * ms);
+      bed.end(id, Result::ok);
+      for (std::uint64_t c = 1; c <= 4; ++c) bed.tell(Probed{{c}, true, ms, {}});
+    }
+    const int usual = all(bed);
+    probes += usual;
+    bed.ask(1);
+    bed.advance(1500 * ms);
+    found += all(bed) > usual;
+  }
+  EXPECT_LE(probes, 400) << "4,000 requests; a look at 300 ms would be one for each";
+  EXPECT_EQ(found, 100);
+}
 // Guards against a parent with a full queue passing for lost at every router: it is spared for a while and,
 // being the same process, takes its whole part again as soon as it says that it is well.
 TEST(Fleet, AParentThatSaysItIsFullIsSparedAndNotHeldForCold) {
