Floor the door by told sizes, and fill writes from the origin itself

At fault: choice.cpp feel() (the least limit knows no sizes), source_for() (classes that are never kept). Now the floor is a quarter of the router's share of what the usable caches can send, where sizes are told; writes name the origin, and a parent only if that has failed them. Times between answers, by which silence is judged, are no longer cut short by the words that probes bring out (state.h answered_at, caches.cpp hear()).

The path that moved objects by reports is gone: here reports come with probes only, which it never read.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -24,8 +24,6 @@
 constexpr double kSeen = 0.4;   // attempts out for each cache and sharer: fewer say nothing of a crowd
 constexpr double kSharers = 2;  // routers of a location for whose view these values were set: others see thin
 constexpr double kCrowded = 1.5, kCrowdedLeast = 1;
-constexpr double kHeldLeast = 4, kReportLearn = 0.2;  // requests held, never too many; weight of a report
-constexpr Time kReportOld = 4 * kSecond;              // reports older than this say nothing
 constexpr int kCalm = 2;               // attempts out, at most, where a hit's time tells its sending time
 constexpr double kLateDevs = 3;        // deviations above the mean: late
 constexpr double kLateFrom = 0.4;      // of the aim: nothing is late earlier
@@ -34,7 +32,7 @@
 constexpr double kRetryPart = 0.15, kRetrySaved = 6;
 // Admission: a limit on sending seconds out; each answer moves it by kLimitStep of its distance from the aim.
 constexpr double kCrowdAim = 0.3, kCrowdMost = 2, kLimitStep = 0.03;
-constexpr double kLimitLeast = 0.5;  // seconds for a cache
+constexpr double kLimitLeast = 0.5, kLimitPart = 0.25;  // seconds for a cache; of our share of told sizes
 constexpr double kStillWork = 2, kStillLearn = 0.03, kStillForget = 0.002, kStillRoom = 0.15,
                  kStillMost = 0.4;
 constexpr double kCheapRoom = 2;  // over the limit, for requests that cost little for their worth
@@ -105,7 +103,7 @@
   double fetch_out_ = 0, pressed_ = 0;  // sending seconds waiting for the origin; part refused lately
   double still_ = 0;                    // the crowd felt at the least work
   Mean cost_;                           // sending seconds for a unit of worth
-  Mean gap_;                            // from being asked, or a word, to the next word of a cache
+  Mean gap_;  // from being asked, or an answer, to the next answer of a cache; what probes told is no answer
   struct Carry {
     double mean = 0, most = 0;
   } cache_carry_, parent_carry_;  // transfers that warm ones do for us, remembered
@@ -248,7 +246,7 @@
     if (set_.may_probe || std::any_of(line.begin(), line.end(), [&](Node* n) { return usable(*n); }))
       std::erase_if(line, [&](Node* n) { return !usable(*n); });
     const std::size_t width = std::min({o.width, cap(), line.size()});
-    if (width < 2) return uncrowded(line, id);
+    if (width < 2) return uncrowded(line);
     const auto filled = [&](Node* n) {
       Member& m = member(o, n->at.id);
       const double age = static_cast<double>(now_ - m.joined) / kWindow;
@@ -256,27 +254,19 @@
     };
     std::stable_sort(line.begin(), line.begin() + static_cast<std::ptrdiff_t>(width),
                      [&](Node* a, Node* b) { return filled(a) < filled(b); });
-    return uncrowded(line, id);
+    return uncrowded(line);
   }
   // Danger: a home with more work than it can send slows and stays crowded. While much more of ours is out
-  // there than at its peers, the next in hash order goes first. Where we see too little, the caches' reports
-  // tell; then a part of the objects, the same at every router, moves on: copies meet, and no herd moves.
-  std::vector<Node*> uncrowded(std::vector<Node*> line, ObjectId object) const {
-    double work = 0, size = 0, out = 0, held = 0, heard = 0;
-    for (auto* n : line) {
-      work += n->work_out, size += weight(*n), out += n->out;
-      if (fresh(*n)) held += n->held.value, heard += weight(*n);
-    }
-    const bool seen = out >= kSeen * (thin() - 1) * static_cast<double>(line.size());
+  // there than at its peers, the next in hash order goes first. Where we see too little, nobody is moved.
+  std::vector<Node*> uncrowded(std::vector<Node*> line) const {
+    double work = 0, size = 0, out = 0;
+    for (auto* n : line) work += n->work_out, size += weight(*n), out += n->out;
+    if (out < kSeen * (thin() - 1) * static_cast<double>(line.size())) return line;
     std::stable_partition(line.begin(), line.end(), [&](Node* n) {
-      if (seen) return n->work_out <= std::max(kCrowdedLeast, kCrowded * work / size * weight(*n));
-      if (!fresh(*n) || n->held.value < kHeldLeast) return true;
-      const double moved = 1 - kCrowded * held / heard * weight(*n) / n->held.value;
-      return unit(mix(mix(object.value) + n->at.id.value)) >= moved;  // another hash than the rank's
+      return n->work_out <= std::max(kCrowdedLeast, kCrowded * work / size * weight(*n));
     });
     return line;
   }
-  bool fresh(const Node& n) const { return n.held.any && now_ < n.held_at + kReportOld; }
   void count_served(const Request& q, Node& n) {
     const double x = known(q.size_kb) > 0 ? q.size_kb : 1;
     n.load.add(now_, x);
@@ -309,6 +299,8 @@
     const auto bad = [&](const Node& n) {
       return std::find(life.bad_sources.begin(), life.bad_sources.end(), n.at.id) != life.bad_sources.end();
     };
+    // Danger: writes run at the origin anyway; in a full parent's queue they would wait and fail for nothing.
+    if (cls(life.q).uncached && origin_ && !bad(*origin_)) return origin_;
     for (auto* p : ranked(parents_, life.q.object))
       if (!bad(*p) && usable(*p) && affords(*p)) return p;
     if (origin_ && !bad(*origin_)) return origin_;
@@ -393,10 +385,8 @@
     const bool word = o.result == Result::ok || o.result == Result::error || o.result == Result::full ||
                       o.result == Result::miss;
     if (word && n.at.role == Role::cache)
-      gap_.learn(static_cast<double>(now_ - std::max(n.idle_until, n.last_answer)));
+      gap_.learn(static_cast<double>(now_ - std::max(n.idle_until, std::exchange(n.answered_at, now_))));
     if (word) n.last_answer = now_, n.answers.add(now_, 1);
-    if (std::isfinite(o.report.inflight) && o.report.inflight >= 0)
-      n.held.learn(o.report.inflight, kReportLearn), n.held_at = now_;
     if (o.result == Result::ok || o.result == Result::miss || fill_failed(o)) return answered(n);
     if (o.result == Result::error) {
       n.errors.add(now_, 1);
@@ -592,6 +582,13 @@
     pressed_ += kPressLearn * ((over ? 1 : 0) - pressed_);
     return over;
   }
+  // Where sizes are told, a part of our share of what the usable caches can send; what is below is no crowd.
+  double door_least() {
+    double sum = 0;
+    for (auto* n : caches_) sum += usable(*n) ? weight(*n) * (n->cold ? cold_share(*n) : 1) : 0;
+    const double told = sized() ? kLimitPart * sum / neighbours() : 0;
+    return std::max(told, kLimitLeast * static_cast<double>(caches_.size()) / thin());
+  }
   // The wait for a source's first byte is taken off where it is told: no crowd of the location.
   void feel(const Request& q, const Outcome& o) {
     if (fill_failed(o)) return;
@@ -599,7 +596,7 @@
     if (!turned_away && o.result != Result::ok) return;
     const Time own = std::max<Time>(0, o.elapsed - o.first_byte);
     const double crowd = turned_away ? kCrowdMost : over_aim(q, static_cast<double>(own));
-    const double least = kLimitLeast * static_cast<double>(caches_.size()) / thin();
+    const double least = door_least();
     // Danger: what answers take however little is out is no crowd; the door would stay shut.
     still_ += door_.value < kStillWork * least ? kStillLearn * (crowd - still_) : -kStillForget * still_;
     door_.learn(limit_step(), std::clamp(still_ + kStillRoom, kCrowdAim, kStillMost) - crowd, least,
--- a/src/platform/caches.cpp
+++ b/src/platform/caches.cpp
@@ -221,7 +221,6 @@
 
 std::ptrdiff_t Caches::take(Link& link, std::string_view bytes) {
   touch(*link.server);
-  hear(link);
   const auto before = bytes.size();
   LineAnswer answer;
   for (;;) {
@@ -244,6 +243,7 @@
       end_probe(link, it->first, answer.word == "green", answer.report);
       continue;
     }
+    hear(link);
     const AttemptId attempt = it->second.attempt;
     const auto result = result_of(answer.word);
     // A word of another answer, or an answer to what was not asked whole: nothing here can be trusted.
@@ -265,8 +265,8 @@
   }
 }
 
-// Danger: where a router sends little, most connections are quiet for long while they serve. A look at each
-// of those would be a probe for every second request.
+// Danger: where a router sends little, most connections are quiet for long while they serve; a look at each
+// would be a probe for every second request. What probes bring out is no measure of that.
 void Caches::hear(Link& link) {
   const core::Time now = engine_.now();
   core::Time oldest = now;
--- a/src/state.h
+++ b/src/state.h
@@ -16,11 +16,10 @@
   Time blocked_until = 0, last_answer = -1;
   bool on_trial = false, was_silent = false, probing = false, proved = false;
   Time probed_at = 0, idle_until = 0, reset_at = 0;
+  Time answered_at = 0;  // an attempt, last
   Time silent_from = 0;  // nothing was heard from then on
   int unheard = 0;       // probes failed in a row
   int out = 0;
-  Mean held;  // requests it holds, by its reports
-  Time held_at = 0;
   double work_out = 0;              // sending seconds of the attempts out
   bool cold = false, told = false;  // told: by the list; else only suspected after silence
   Time cold_since = 0, tokens_at = 0;
