Limit fetches of what a purge made void, with a floor shared by all routers of the one origin

Attempts rise to 1,380 a second for 800 requests: each failed fill is asked again by way of another parent, from the same origin.

Now fetches that a purge forces are the measure where no notes come: their times, and refusals that are not the cache's own word. Over the limit parents give only what they hold, and a miss then is given up at once. The floor is 4.5 s over all routers (1.5 s for each of three, as before); steps grow with their number.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -36,7 +36,7 @@
 constexpr double kStillWork = 2, kStillLearn = 0.03, kStillForget = 0.002, kStillRoom = 0.15,
                  kStillMost = 0.4;
 constexpr double kCheapRoom = 2;  // over the limit, for requests that cost little for their worth
-constexpr double kFetchAim = 0.5, kFetchLeast = 1.5;  // the same for work that may wait for the origin
+constexpr double kFetchAim = 0.5, kFetchLeast = 4.5;  // the same for fetches; of all routers, one origin
 constexpr double kPressLearn = 0.05;                  // weight of one request in the part refused lately
 constexpr int kHardFails = 2;                         // refused, reset or silent in a row: out
 // Errors in a window, their part of all answers, over the peers' part or alone: who stands out is out.
@@ -307,21 +307,25 @@
     return nullptr;
   }
   // One of many routers hears fewer of the answers: each moves its limits further.
-  double limit_step() const { return kLimitStep * std::sqrt(thin()); }
   void judge_source(const Request& q, const Attempt& a, const Outcome& o) {
     Node* s = a.filling ? find(a.source) : nullptr;
     if (!s) return;
     const bool broke = o.note == Note::source_refused || o.note == Note::source_unreachable;
     const bool gave = o.result == Result::ok && (o.note == Note::filled || o.note == Note::filled_by_origin);
-    const bool fetched = gave && (o.note == Note::filled_by_origin || s->at.role == Role::origin);
+    // Without notes what was purged tells: hits would hide what fetches take, and lost answers reopen
+    // nothing.
+    const bool had_to = a.fetching && !noted_ && purged_at(q) >= 0;
+    const bool fetched = noted_ ? gave && (o.note == Note::filled_by_origin || s->at.role == Role::origin)
+                                : had_to && o.result == Result::ok;
+    const bool kept_out = noted_ ? a.fetching && o.result == Result::timeout
+                                 : had_to && o.result == Result::full && o.elapsed > kOwnWord;
     const bool stuck = o.note == Note::origin_failed || o.note == Note::fills_full ||
-                       (broke && s->at.role == Role::origin) ||
-                       (noted_ && a.fetching && o.result == Result::timeout);  // unnoted, nothing reopens it
+                       (broke && s->at.role == Role::origin) || kept_out;
     const Time waited = o.first_byte > 0 ? o.first_byte : o.elapsed;  // where told, without the link's part
     if (fetched || stuck)
-      fetches_.learn(limit_step(),
+      fetches_.learn(kLimitStep * std::sqrt(std::max(1.0, set_.routers / kSharers)),
                      kFetchAim - (stuck ? kCrowdMost : over_aim(q, static_cast<double>(waited))),
-                     kFetchLeast / std::sqrt(thin()), fetch_out_);
+                     kFetchLeast / std::max(1u, set_.routers), std::max(fetch_out_, door_least()));
     if (gave) s->work.add(now_, sending(q)), objects_[q.object].fetched = now_;
     // What turned out a hit asked nothing of a cold parent.
     if (a.charged && s->cold && (o.note == Note::hit || o.note == Note::joined))
@@ -532,7 +536,7 @@
     f.keep = rank_for(life, o);
     const bool kept = !c.uncached && !life.q.write;
     // Danger: fills that wait for a slow origin hold places. Over the limit parents give only what they hold.
-    const bool over = kept && life.unseen && fetch_out_ > fetches_.value;
+    const bool over = kept && (noted_ ? life.unseen : purged_at(life.q) >= 0) && fetch_out_ > fetches_.value;
     f.join = kept && set_.can_join_fills;
     f.renew = kept && c.fresh > 0 && o.repeated && !over;
     f.held_only = over && s && s->at.role == Role::parent;
@@ -599,8 +603,8 @@
     const double least = door_least();
     // Danger: what answers take however little is out is no crowd; the door would stay shut.
     still_ += door_.value < kStillWork * least ? kStillLearn * (crowd - still_) : -kStillForget * still_;
-    door_.learn(limit_step(), std::clamp(still_ + kStillRoom, kCrowdAim, kStillMost) - crowd, least,
-                work_out());
+    door_.learn(kLimitStep * std::sqrt(thin()),
+                std::clamp(still_ + kStillRoom, kCrowdAim, kStillMost) - crowd, least, work_out());
   }
   // Never two at once: only the last attempt can be out.
   static const Attempt* out(const Life& life) {
@@ -697,6 +701,7 @@
     if (life.open && !out(life)) {
       // Danger: behind every parent stands the same origin; each router's retries help to push it over.
       const bool no_use = o.note == Note::source_lacks || o.result == Result::moot ||
+                          (o.result == Result::miss && a.filling && !a.fetching) ||
                           (o.note == Note::origin_failed && (life.stale_ok || !cls(life.q).stale_grace));
       no_use
           ? give_up(life)
@@ -708,7 +713,7 @@
   // Answers say nothing of fills: the same cache is asked once more with the next source, to tell.
   bool unclear(Life& life, const Attempt& a, const Outcome& o) {
     const bool failed = o.result == Result::error || (o.result == Result::full && o.elapsed > kOwnWord);
-    if (noted_ || !a.filling || !failed || life.asked_again == a.server) return false;
+    if (noted_ || !a.filling || !failed || life.asked_again == a.server || cls(life.q).uncached) return false;
     life.suspect = a.source, life.asked_again = a.server;
     life.bad_sources.push_back(a.source);
     return true;
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -827,6 +827,36 @@
     bed.end(id, Result::ok);
   }
 }
+// Guards against a hundred routers that all go on asking one origin for what a purge has made void
+// everywhere: together they keep out no more than the origin bears, whatever each of them sees of it.
+TEST(Fleet, WhatAPurgeMadeVoidIsFetchedByAllTogetherNoFasterThanTheOriginBears) {
+  for (const std::uint32_t routers : {3u, 100u}) {
+    auto s = site();
+    s.routers = routers;
+    s.routers_by_location = {0, 0, 0, std::max(1u, routers / 12)};
+    int fetching = 0, held_only = 0;
+    for (std::uint32_t r = 0; r < routers; ++r) {
+      Bed bed(s, fleet(), 100 + r);
+      bed.tell(Purge{{}, {5}, 0});
+      for (std::uint64_t o = 1; o <= 30; ++o) {
+        bed.advance(120 * ms);
+        const auto id = bed.ask(o, 0, 200);
+        if (bed.answers[id] || bed.sends[id].empty()) continue;
+        const bool held = bed.sends[id][0].fill->held_only;
+        bed.end(id, held ? Result::miss : Result::full, Note::none, 0, 60 * ms);
+        if (held) { EXPECT_EQ(bed.sends[id].size(), 1u) << "nobody else holds it either"; }
+      }
+      for (std::uint64_t o = 100; o < 140; ++o) {
+        const auto id = bed.ask(o, 0, 200);
+        if (bed.sends[id].empty()) continue;
+        const bool held = bed.sends[id][0].fill->held_only;
+        ++(held ? held_only : fetching);
+      }
+    }
+    EXPECT_LE(fetching * 0.2, 60) << "seconds of fetches out, of " << routers << " routers";
+    EXPECT_GT(held_only, 0);
+  }
+}
 // Guards against a parent with a full queue passing for lost at every router: it is spared for a while and,
 // being the same process, takes its whole part again as soon as it says that it is well.
 TEST(Fleet, AParentThatSaysItIsFullIsSparedAndNotHeldForCold) {
