Spread dials to the notice board after a break by each router's own seed

Checked: a hundred seeds over five rounds put no more than 15 dials into any 10 ms (all 100 before).

--- a/src/platform/board.cpp
+++ b/src/platform/board.cpp
@@ -5,13 +5,17 @@
 
 namespace {
 
-constexpr core::Time kAgain = 200'000, kCheck = 250'000;
+constexpr core::Time kAgainLeast = 50'000, kAgainMost = 350'000, kCheck = 250'000;
 constexpr core::Time kSilence = 1'800'000;  // a line comes every second
 constexpr core::Time kGapPatience = 1'500'000;
 constexpr std::size_t kLineMost = 1 << 20, kAheadMost = 4096;
 
 }  // namespace
 
+core::Time pause_before_dial(std::mt19937_64& random) {
+  return std::uniform_int_distribution<core::Time>(kAgainLeast, kAgainMost)(random);
+}
+
 void DirectPool::pool(bool complete, const std::vector<config::Member>& members) {
   if (complete) caches_.only(members);
   al::FleetUpdate update;
@@ -25,7 +29,12 @@
 
 Board::Board(net::Loop& loop, core::Deadlines& deadlines, core::Engine& engine, PoolSink& sink,
              const config::Config& config)
-    : loop_(loop), deadlines_(deadlines), engine_(engine), sink_(sink), config_(config) {
+    : loop_(loop),
+      deadlines_(deadlines),
+      engine_(engine),
+      sink_(sink),
+      config_(config),
+      random_(config.seed) {
   for (const auto& n : config.notices) apply(n);
   held_ = std::max(held_, config.known);
   ahead_.clear();
@@ -64,7 +73,7 @@
 void Board::try_again() {
   drop();
   if (waiting_) return;
-  waiting_ = deadlines_.set(engine_.now() + kAgain, [this] {
+  waiting_ = deadlines_.set(engine_.now() + pause_before_dial(random_), [this] {
     waiting_.reset();
     connect();
   });
--- a/src/platform/board.h
+++ b/src/platform/board.h
@@ -3,6 +3,7 @@
 
 #include <memory>
 #include <optional>
+#include <random>
 #include <set>
 #include <string>
 #include <vector>
@@ -30,6 +31,11 @@
   core::Engine& engine_;
 };
 
+// How long to wait before the next connection to the board, in microseconds: a draw of the router's own seed.
+// Danger: a board that ends all its connections at once would be dialled by the whole fleet in one instant,
+// and as one again for as long as it refuses.
+core::Time pause_before_dial(std::mt19937_64& random);
+
 class Board {
  public:
   Board(net::Loop& loop, core::Deadlines& deadlines, core::Engine& engine, PoolSink& sink,
@@ -60,6 +66,7 @@
   std::set<std::uint64_t> ahead_;  // applied beyond a gap
   core::Time heard_ = 0, gap_since_ = 0;
   std::optional<core::Deadlines::Key> waiting_;
+  std::mt19937_64 random_;
 };
 
 }  // namespace alderspur::platform
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -359,6 +359,24 @@
   EXPECT_EQ(answers(c->in)[0].body, "still here");
 }
 
+// Guards against a fleet that dials its board in step, again and again, after it has ended all connections.
+TEST(Board, AHundredRoutersThatLoseItTogetherDialSpreadOverTheTime) {
+  std::vector<std::mt19937_64> routers;
+  for (std::uint64_t seed = 1; seed <= 100; ++seed) routers.emplace_back(seed);
+  std::vector<core::Time> at(100, 0);
+  for (int round = 0; round < 5; ++round) {
+    std::map<core::Time, int> in_10_ms;
+    for (std::size_t i = 0; i < routers.size(); ++i) {
+      at[i] += alderspur::platform::pause_before_dial(routers[i]);
+      EXPECT_LE(at[i], (round + 1) * 350'000);
+      ++in_10_ms[at[i] / 10'000];
+    }
+    for (const auto& [slot, n] : in_10_ms) EXPECT_LE(n, 15) << "of 100 in one 10 ms, round " << round;
+  }
+  std::mt19937_64 once(7), again(7);
+  EXPECT_EQ(alderspur::platform::pause_before_dial(once), alderspur::platform::pause_before_dial(again));
+}
+
 TEST_F(Platform, TheBoardIsWatchedFromTheLastNumberHeldAndADrainBindsAtOnce) {
   auto w = watcher();
   ASSERT_TRUE(until([&] { return w->in == "watch 1\n"; }));
