Call the shared mean for usual silences, and walk a connection's attempts in one place

Caches::Gap was a second copy of Mean in estimates.h, with the same weight and start: now it is that Mean. hear() and watch() each walked the open attempts for the oldest: now Link::oldest() does. The step of the fetch limit wrote thin() out once more: thin(sharers) serves both, and its comment stands there again. purged_at() is looked up only once the fetch limit is passed. Tests no longer copy the site's settings where nothing in them is changed since second copies went.

--- a/include/alderspur/router.h
+++ b/include/alderspur/router.h
@@ -154,7 +154,7 @@
   Time elapsed = 0;
   Report report{};
   Time up = 0;         // how long the connection that it came by has been up; 0: not told
-  bool lives = false;  // not ok, but it said so itself: full, perhaps, not silent
+  bool lives = false;  // it said so itself, ok or not: full, perhaps, but not silent
   bool late = false;   // told as failed before, when its time was up: here is its word after all
 };
 struct TimerDue {
--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -306,14 +306,12 @@
     if (origin_ && !bad(*origin_)) return origin_;
     return nullptr;
   }
-  // One of many routers hears fewer of the answers: each moves its limits further.
   void judge_source(const Request& q, const Attempt& a, const Outcome& o) {
     Node* s = a.filling ? find(a.source) : nullptr;
     if (!s) return;
     const bool broke = o.note == Note::source_refused || o.note == Note::source_unreachable;
     const bool gave = o.result == Result::ok && (o.note == Note::filled || o.note == Note::filled_by_origin);
-    // Without notes what was purged tells: hits would hide what fetches take, and lost answers reopen
-    // nothing.
+    // Without notes what was purged tells: hits would hide what fetches take, lost answers reopen nothing.
     const bool had_to = a.fetching && !noted_ && purged_at(q) >= 0;
     const bool fetched = noted_ ? gave && (o.note == Note::filled_by_origin || s->at.role == Role::origin)
                                 : had_to && o.result == Result::ok;
@@ -323,7 +321,7 @@
                        (broke && s->at.role == Role::origin) || kept_out;
     const Time waited = o.first_byte > 0 ? o.first_byte : o.elapsed;  // where told, without the link's part
     if (fetched || stuck)
-      fetches_.learn(kLimitStep * std::sqrt(std::max(1.0, set_.routers / kSharers)),
+      fetches_.learn(kLimitStep * std::sqrt(thin(set_.routers)),
                      kFetchAim - (stuck ? kCrowdMost : over_aim(q, static_cast<double>(waited))),
                      kFetchLeast / std::max(1u, set_.routers), std::max(fetch_out_, door_least()));
     if (gave) s->work.add(now_, sending(q)), objects_[q.object].fetched = now_;
@@ -431,7 +429,9 @@
     const auto& by = set_.routers_by_location;
     return std::max(1u, here < by.size() ? by[here] : set_.routers);
   }
-  double thin() const { return std::max(1.0, neighbours() / kSharers); }
+  // One of many routers hears fewer of the answers: each moves its limits further.
+  static double thin(double sharers) { return std::max(1.0, sharers / kSharers); }
+  double thin() const { return thin(neighbours()); }
   void warm_up(Node& n) {
     const Time span = n.at.role == Role::parent ? set_.parent_cold : set_.cache_cold;
     if (n.cold && now_ >= n.cold_since + span) n.cold = false;
@@ -536,7 +536,7 @@
     f.keep = rank_for(life, o);
     const bool kept = !c.uncached && !life.q.write;
     // Danger: fills that wait for a slow origin hold places. Over the limit parents give only what they hold.
-    const bool over = kept && (noted_ ? life.unseen : purged_at(life.q) >= 0) && fetch_out_ > fetches_.value;
+    const bool over = kept && fetch_out_ > fetches_.value && (noted_ ? life.unseen : purged_at(life.q) >= 0);
     f.join = kept && set_.can_join_fills;
     f.renew = kept && c.fresh > 0 && o.repeated && !over;
     f.held_only = over && s && s->at.role == Role::parent;
--- a/src/platform/caches.cpp
+++ b/src/platform/caches.cpp
@@ -1,7 +1,6 @@
 #include "platform/caches.h"
 
 #include <algorithm>
-#include <cmath>
 #include <deque>
 
 #include "platform/lines.h"
@@ -26,6 +25,7 @@
 // A connection with work of ours on which nothing came for kQuiet, and for longer than is usual before a
 // word, is asked for one; without it, it is lost.
 constexpr core::Time kWatch = 50'000, kQuiet = 250'000, kWord = 300'000;
+constexpr double kUnusualDevs = 4;  // mean deviations above the mean
 
 }  // namespace
 
@@ -51,9 +51,14 @@
   core::Deadlines::Key dial{};
   bool retired = false, dead = false;
   core::Time used = 0, up = 0;  // up: since when it can be written to
-  core::Time heard_at = 0;
-  core::Time doubted = 0;  // a probe was overdue then, and nothing came
+  core::Time answered_at = 0;   // an attempt, last
+  core::Time doubted = 0;       // a probe was overdue then, and nothing came
   bool heard() const { return !doubted || connection->last_read > doubted; }
+  core::Time oldest(core::Time now) const {  // of the attempts open here, when it was sent; now: none is
+    for (const auto& [id, o] : open)
+      if (o.attempt) now = std::min(now, o.sent);
+    return now;
+  }
   std::size_t load() const { return open.size() + waiting.size() + probes.size(); }
 };
 struct Caches::Server {
@@ -63,14 +68,6 @@
   bool touched = false;
 };
 
-void Caches::Gap::learn(core::Time t) {
-  constexpr double kWeight = 0.05;
-  const double x = static_cast<double>(t);
-  if (mean_ == 0) mean_ = x, deviation_ = x / 2;
-  deviation_ += kWeight * (std::abs(x - mean_) - deviation_);
-  mean_ += kWeight * (x - mean_);
-}
-
 Caches::Caches(net::Loop& loop, core::Deadlines& deadlines, core::Engine& engine,
                const config::Config& config)
     : loop_(loop),
@@ -268,12 +265,9 @@
 // Danger: where a router sends little, most connections are quiet for long while they serve; a look at each
 // would be a probe for every second request. What probes bring out is no measure of that.
 void Caches::hear(Link& link) {
-  const core::Time now = engine_.now();
-  core::Time oldest = now;
-  for (const auto& [id, o] : link.open)
-    if (o.attempt) oldest = std::min(oldest, o.sent);
-  if (oldest < now) gap_.learn(now - std::max(oldest, link.heard_at));
-  link.heard_at = now;
+  const core::Time now = engine_.now(), oldest = link.oldest(now);
+  if (oldest < now) gap_.learn(static_cast<double>(now - std::max(oldest, link.answered_at)));
+  link.answered_at = now;
 }
 
 // A refused or hung connect, or a command not written whole, proves that nothing ran.
@@ -427,11 +421,8 @@
 void Caches::watch(Link& link) {
   const core::Time now = engine_.now();
   if (link.checked && (link.check.empty() || link.connection->last_read >= link.checked)) link.checked = 0;
-  core::Time oldest = now;
-  for (const auto& [id, o] : link.open)
-    if (o.attempt) oldest = std::min(oldest, o.sent);
-  const core::Time quiet = now - std::max(oldest, link.connection->last_read);
-  if (quiet <= std::max(kQuiet, gap_.usual_most())) return;
+  const core::Time quiet = now - std::max(link.oldest(now), link.connection->last_read);
+  if (quiet <= std::max(kQuiet, static_cast<core::Time>(gap_.value + kUnusualDevs * gap_.dev))) return;
   // Nothing can be asked behind half an answer.
   if (link.connection->unread() > 0 || (link.checked && now > link.checked + kWord)) {
     ++engine_.counters().silent_links;
--- a/src/platform/caches.h
+++ b/src/platform/caches.h
@@ -10,6 +10,7 @@
 
 #include "config/config.h"
 #include "core/engine.h"
+#include "estimates.h"
 #include "net/connection.h"
 
 namespace alderspur::platform {
@@ -39,15 +40,6 @@
   struct Link;
   struct Server;
   struct Open;
-  // Times from being asked, or a word, to the next word on connections with work: mean and mean deviation.
-  class Gap {
-   public:
-    void learn(core::Time t);
-    core::Time usual_most() const { return static_cast<core::Time>(mean_ + 4 * deviation_); }
-
-   private:
-    double mean_ = 0, deviation_ = 0;
-  };
 
   void touch(Server& server);
   Link* pick(Server& server, std::string_view id);
@@ -80,7 +72,7 @@
   std::unordered_map<core::AttemptId, Link*> where_;
   std::size_t link_count_ = 0, link_limit_;
   std::uint64_t last_probe_ = 0;
-  Gap gap_;
+  Mean gap_;  // on connections with work: from being asked, or an answer, to the next answer
 };
 
 }  // namespace alderspur::platform
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -285,8 +285,7 @@
   }
 }
 TEST(Effects, NeverTwoAttemptsOut) {
-  auto s = site();
-  Bed bed(s);
+  Bed bed;
   const auto id = bed.ask(1);
   bed.advance(4 * second);
   EXPECT_EQ(bed.sends[id].size(), 1u);
@@ -595,8 +594,7 @@
 // Guards against a door that stays shut because fetches take their time however little is out: the caches
 // behind it would never fill again.
 TEST(Admission, WhatAnswersTakeAtTheLeastWorkKeepsNobodyOut) {
-  auto s = site();
-  Bed bed(s);
+  Bed bed;
   std::multimap<Time, RequestId> due;
   int served = 0;
   for (std::uint64_t o = 1; o <= 2000; ++o) {
@@ -613,8 +611,7 @@
   EXPECT_GE(served, 950);
 }
 TEST(Health, WithoutNotesADeadSourceIsFoundByAskingTheSameCacheOnceMore) {
-  auto s = site();
-  Bed bed(s);
+  Bed bed;
   int to_dead_late = 0, refused = 0;
   for (std::uint64_t o = 1; o <= 60; ++o) {
     const auto id = bed.ask(o, 0, 400);
@@ -637,8 +634,7 @@
 // its fills: each error might be the source's, and asking once more succeeds often enough.
 TEST(Health, WhoFailsHalfStandsOutAmongItsPeersWhicheverEndItIs) {
   for (const ServerId failing : {ServerId{2}, ServerId{20}}) {
-    auto s = site();
-    Bed bed(s);
+    Bed bed;
     int errors = 0, late = 0, refused = 0, others = 0;
     for (std::uint64_t o = 1; o <= 400; ++o) {
       const auto id = bed.ask(o, 0, 50);
@@ -992,8 +988,7 @@
 // Guards against answers that never come closing the door to fills for good, where no note tells of those
 // that do: every new object would be asked for in vain first.
 TEST(Origin, WithoutNotesLostAnswersDoNotHoldBackFills) {
-  auto s = site();
-  Bed bed(s);
+  Bed bed;
   for (std::uint64_t o = 1; o <= 300; ++o) {
     const auto id = bed.ask(o, 0, 50);
     bed.advance(50 * ms);
