Hash texts in one place, and read texts with units by one reader

Read again; behaviour stays as it was. FNV-1a stood in membership::server_id, routing::stable_hash and the xDS version: all call core::stable_hash in core/text.h now. form::Table::duration and size were one reader written twice: both call measured(). Stories of the module that probe share probing_site().

Left, since they are not the same: routing's own mix() (without the module's offset: merging would move the users of every split) and the watcher's (it takes in the length).

--- a/src/app/routes.cpp
+++ b/src/app/routes.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "app/language.h"
+#include "core/text.h"
 
 namespace alderspur::app {
 namespace {
@@ -114,7 +115,7 @@
   if (own < zones.size()) q.point = zones[own];
   q.header = [&](std::string_view name) { return request.field(name); };
   q.query = [&](std::string_view name) { return parameter(query, name); };
-  q.hash = routing::stable_hash(path);
+  q.hash = core::stable_hash(path);
   const auto m = table_->table->match(q);
   if (!m) return {};
   signed_urls::Found found;
--- a/src/core/text.h
+++ b/src/core/text.h
@@ -3,6 +3,7 @@
 
 #include <charconv>
 #include <cmath>
+#include <cstdint>
 #include <string_view>
 #include <type_traits>
 
@@ -34,4 +35,11 @@
   return text.size() <= 64;
 }
 
+// The same text gives the same number at every router and in every run. FNV-1a, 64 bits.
+inline std::uint64_t stable_hash(std::string_view text) {
+  std::uint64_t hash = 0xcbf29ce484222325ULL;
+  for (const char c : text) hash = (hash ^ static_cast<unsigned char>(c)) * 0x100000001b3ULL;
+  return hash;
+}
+
 }  // namespace alderspur::core
--- a/src/form/document.cpp
+++ b/src/form/document.cpp
@@ -135,34 +135,30 @@
   wrong(key, "true or false is wanted here");
   return {};
 }
-std::optional<std::int64_t> Table::duration(std::string_view key, std::int64_t least, std::int64_t most) {
+std::optional<std::int64_t> Table::measured(std::string_view key, std::int64_t least, std::int64_t most,
+                                            const Measure& measure) {
   const auto* n = static_cast<const toml::node*>(find(key));
   if (!n) return {};
   const auto* s = n->as_string();
-  const auto v = s ? parse_duration(s->get()) : std::nullopt;
-  if (!v)
-    return wrong(key, "a duration with its unit is wanted here", R"(such as "250 ms" or "2 s")"),
-           std::nullopt;
+  const auto v = s ? measure.parse(s->get()) : std::nullopt;
+  if (!v) return wrong(key, measure.wanted, measure.example), std::nullopt;
   if (*v < static_cast<double>(least) || *v > static_cast<double>(most)) {
     wrong(key, s->get() + " is out of bounds",
-          "it may be " + duration_text(least) + " to " + duration_text(most));
+          "it may be " + measure.shown(least) + " to " + measure.shown(most));
     return {};
   }
   return static_cast<std::int64_t>(*v);
 }
+std::optional<std::int64_t> Table::duration(std::string_view key, std::int64_t least, std::int64_t most) {
+  return measured(key, least, most,
+                  {parse_duration, duration_text, "a duration with its unit is wanted here",
+                   R"(such as "250 ms" or "2 s")"});
+}
 std::optional<std::int64_t> Table::size(std::string_view key, std::int64_t least, std::int64_t most) {
-  const auto* n = static_cast<const toml::node*>(find(key));
-  if (!n) return {};
-  const auto* s = n->as_string();
-  const auto v = s ? parse_size(s->get()) : std::nullopt;
-  if (!v)
-    return wrong(key, "a size with its unit is wanted here", R"(such as "64 MB" or "512 KiB")"), std::nullopt;
-  if (*v < static_cast<double>(least) || *v > static_cast<double>(most)) {
-    wrong(key, s->get() + " is out of bounds",
-          "it may be " + std::to_string(least) + " B to " + std::to_string(most) + " B");
-    return {};
-  }
-  return static_cast<std::int64_t>(*v);
+  const auto bytes = [](std::int64_t n) { return std::to_string(n) + " B"; };
+  return measured(
+      key, least, most,
+      {parse_size, bytes, "a size with its unit is wanted here", R"(such as "64 MB" or "512 KiB")"});
 }
 std::optional<std::string> Table::word(std::string_view key, const std::vector<std::string_view>& allowed,
                                        bool required) {
--- a/src/form/document.h
+++ b/src/form/document.h
@@ -46,6 +46,13 @@
   friend class Document;
   const void* find(std::string_view key);
   void wrong(std::string_view key, std::string text, std::string mend = {});
+  struct Measure {  // of a number with its unit, in a text
+    std::optional<double> (*parse)(std::string_view);
+    std::string (*shown)(std::int64_t);
+    const char *wanted, *example;
+  };
+  std::optional<std::int64_t> measured(std::string_view key, std::int64_t least, std::int64_t most,
+                                       const Measure& measure);
   const void* node_ = nullptr;     // a toml::table
   const Place* origin_ = nullptr;  // the file, and how many lines of it stand before this text
   Findings* findings_ = nullptr;
--- a/src/membership/member.h
+++ b/src/membership/member.h
@@ -7,6 +7,7 @@
 #include <string_view>
 
 #include "alderspur/router.h"
+#include "core/text.h"
 
 namespace alderspur::membership {
 
@@ -15,11 +16,7 @@
   std::string name, address;
 };
 
-// The same id gives the same number at every router: rendezvous hashes must agree. FNV-1a, 64 bits.
-inline ServerId server_id(std::string_view name) {
-  std::uint64_t hash = 0xcbf29ce484222325ULL;
-  for (const char c : name) hash = (hash ^ static_cast<unsigned char>(c)) * 0x100000001b3ULL;
-  return {hash};
-}
+// The same id gives the same number at every router: rendezvous hashes must agree.
+inline ServerId server_id(std::string_view name) { return {core::stable_hash(name)}; }
 
 }  // namespace alderspur::membership
--- a/src/routing/table.cpp
+++ b/src/routing/table.cpp
@@ -252,12 +252,6 @@
   return out;
 }
 
-std::uint64_t stable_hash(std::string_view text) {
-  std::uint64_t hash = 0xcbf29ce484222325ULL;
-  for (const char c : text) hash = (hash ^ static_cast<unsigned char>(c)) * 0x100000001b3ULL;
-  return hash;
-}
-
 bool host_fits(std::string_view pattern, std::string_view host) {
   if (!pattern.starts_with("*.")) return pattern == host;
   const auto suffix = pattern.substr(1);
@@ -267,7 +261,7 @@
 std::optional<std::size_t> split_of(const Route& r, std::uint64_t hash) {
   if (r.splits.empty()) return {};
   // Mixed with the route's name: splits of two routes must not take the same users.
-  const std::uint64_t seed = stable_hash(r.name);
+  const std::uint64_t seed = core::stable_hash(r.name);
   const double at = static_cast<double>(mix(hash ^ seed) >> 11) * 0x1.0p-53;
   double sum = 0;
   for (std::size_t i = 0; i < r.splits.size(); ++i)
--- a/src/routing/table.h
+++ b/src/routing/table.h
@@ -108,11 +108,9 @@
   std::unique_ptr<Node> any_;
 };
 
-// Of a text, the same at every router and in every run: what a split goes by. FNV-1a, 64 bits.
-std::uint64_t stable_hash(std::string_view text);
 // Whether a host pattern ("a.example", "*.example") takes a host in lower case.
 bool host_fits(std::string_view pattern, std::string_view host);
-// Which part of one a stable hash falls into: the place of the split, or nothing for the rest.
+// Which part of one a core::stable_hash falls into: the place of the split, or nothing for the rest.
 std::optional<std::size_t> split_of(const Route& route, std::uint64_t hash);
 
 }  // namespace alderspur::routing
--- a/src/xds/eds.cpp
+++ b/src/xds/eds.cpp
@@ -7,6 +7,8 @@
 #include <algorithm>
 #include <cmath>
 
+#include "core/text.h"
+
 namespace alderspur::xds {
 namespace al = ::alderspur;
 namespace {
@@ -42,11 +44,7 @@
   w.EndArray(), w.EndObject(), w.EndArray(), w.EndObject();
 }
 
-std::string version_of(std::string_view resource) {
-  std::uint64_t hash = 0xcbf29ce484222325ULL;
-  for (const char c : resource) hash = (hash ^ static_cast<unsigned char>(c)) * 0x100000001b3ULL;
-  return std::to_string(hash);
-}
+std::string version_of(std::string_view resource) { return std::to_string(core::stable_hash(resource)); }
 
 }  // namespace
 
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -47,6 +47,12 @@
   return s;
 }
 
+Settings probing_site() {
+  auto s = site();
+  s.may_probe = true;
+  return s;
+}
+
 Server cache(std::uint64_t id, Status status = Status::ready, Time born = 0) {
   return {{id}, Role::cache, {3}, {static_cast<std::uint32_t>(id % 2)}, status, 4, born};
 }
@@ -501,9 +507,7 @@
   }
 }
 TEST(Health, WhereProbesAreAllowedOneGoesBeforeTheTrial) {
-  auto s = site();
-  s.may_probe = true;
-  Bed bed(s);
+  Bed bed(probing_site());
   std::uint64_t o = 1;
   while (bed.serve(o) != 1) ++o;
   for (int i = 0; i < 2; ++i) bed.end(bed.ask(o), Result::connect_failed);
@@ -657,9 +661,7 @@
 // Guards against a silent cache or parent holding its requests to their deadlines where no second copy may
 // go.
 TEST(Health, ASilentCacheIsProbedAndWhatItHoldsMovesOn) {
-  auto s = site();
-  s.may_probe = true;
-  Bed bed(s);
+  Bed bed(probing_site());
   const auto id = bed.ask(1);
   const auto silent = bed.sends[id][0].server;
   bed.advance(450 * ms);
@@ -676,9 +678,7 @@
 // Guards against taking lost connections, as spoilt answers cause them, for a sick cache: all of a point's
 // caches would be out. The request they cost goes to the same cache once more.
 TEST(Health, ALostConnectionIsAskedAboutAndPutsNoCacheOutByItself) {
-  auto s = site();
-  s.may_probe = true;
-  Bed bed(s);
+  Bed bed(probing_site());
   ServerId home{};
   for (int i = 0; i < 6; ++i) {
     bed.advance(4 * second);
@@ -708,9 +708,7 @@
   EXPECT_NE(bed.sends[bed.ask(1)][0].server, home);
 }
 TEST(Health, ACacheThatResetsAndAnswersNoProbeIsOutAtOnce) {
-  auto s = site();
-  s.may_probe = true;
-  Bed bed(s);
+  Bed bed(probing_site());
   const auto id = bed.ask(1);
   const auto home = bed.sends[id][0].server;
   bed.end(id, Result::reset);
@@ -719,9 +717,7 @@
 }
 // A parent is looked at while a fill by it is late, and is out after four probes without a word.
 Bed with_late_fill(ServerId& parent) {
-  auto s = site();
-  s.may_probe = true;
-  Bed bed(s);
+  Bed bed(probing_site());
   const auto id = bed.ask(1);
   parent = bed.sends[id][0].fill->source;
   EXPECT_EQ(bed.probes[parent], 0);
@@ -751,8 +747,7 @@
 }
 // Guards against probes that grow with routers times parents: 13,000 on a day of 19,000 requests.
 TEST(Fleet, ParentsAreNotLookedAtByTheClock) {
-  auto s = site();
-  s.may_probe = true;
+  auto s = probing_site();
   s.routers = 100;
   int probes = 0;
   for (std::uint64_t seed = 1; seed <= 100; ++seed) {
@@ -765,8 +760,7 @@
 // Guards against a probe for each slow answer where a router has one request at a cache at a time; a cache
 // that says nothing for longer than is usual is still found.
 TEST(Fleet, CachesAreLookedAtAfterAnUnusualSilenceOnly) {
-  auto s = site();
-  s.may_probe = true;
+  auto s = probing_site();
   int probes = 0, found = 0;
   const auto all = [](Bed& bed) {
     int n = 0;
@@ -882,9 +876,7 @@
 }
 // Guards against holding requests on a point whose caches are all known to be out: probes find them again.
 TEST(Health, WhereProbesWatchALostPointItsRequestsAreRefusedAtOnce) {
-  auto s = site();
-  s.may_probe = true;
-  Bed bed(s);
+  Bed bed(probing_site());
   for (std::uint64_t o = 1; o <= 40; ++o) {
     const auto id = bed.ask(o);
     for (std::uint32_t k = 0; k < bed.sends[id].size(); ++k)
