Hold the next attempt while one given up may still be on its way to its server

Its command is on the way: it reaches its cache whole, the abort behind it, while the next attempt, by a shorter way, is out at another.

At fault: Engine::reply handed on the outcome of what was given up in the same turn, whatever its age. Now the outcome of a cancelled attempt, or of one whose connection ended, comes no earlier than 50 ms after its writing (the platform's slack); the abort itself still leaves at once, and clients are answered as before.

--- a/src/core/engine.cpp
+++ b/src/core/engine.cpp
@@ -11,6 +11,8 @@
 constexpr Time kPurgeMargin = 2'000;
 // A request that nothing of has reached a server must move on or be answered before half of its time is over.
 constexpr Time kUnsentPart = 45;  // per cent
+// How long what was written may be on its way to a server. The platform's slack on all its time limits.
+constexpr Time kOnWay = 50'000;
 
 }  // namespace
 
@@ -102,10 +104,19 @@
     ++counters_.late_answers;
     return;
   }
-  it->second.ended = true;
-  deadlines_.clear(it->second.timeout);
-  if (it->second.unsent.first) deadlines_.clear(it->second.unsent);
-  waiting_.push_back({module::Outcome{}, it->second.ticket, attempt, reply});
+  Attempt& a = it->second;
+  a.ended = true;
+  deadlines_.clear(a.timeout);
+  if (a.unsent.first) deadlines_.clear(a.unsent);
+  // Danger: what is given up while it is still on its way reaches its server after all, and the abort behind
+  // it. The next attempt, by a shorter way, would be out beside it: it must not leave before both are there.
+  const bool given_up = reply.result == module::Result::cancelled || reply.result == module::Result::reset;
+  const Time there = a.written + kOnWay;
+  if (!given_up || !a.written || now() >= there)
+    return waiting_.push_back({module::Outcome{}, a.ticket, attempt, reply});
+  deadlines_.set(there, [this, ticket = a.ticket, attempt, result = reply.result] {
+    waiting_.push_back({module::Outcome{}, ticket, attempt, {result, false, {}, {}, 0, {}}});
+  });
 }
 
 void Engine::probed(module::ServerId server, bool ok, Time elapsed, const module::Report& report, Time up,
