Count a silence only from when the answer's own sending time is over

At fault: look() and watch() measured silence from the sending. Now from the first answer due, by its size at the top pace.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -296,9 +296,7 @@
 
   // First usable parent in hash order over all listed ones, else the origin. Null: nobody can be asked now.
   Node* source_for(const Life& life) {
-    const auto bad = [&](const Node& n) {
-      return std::find(life.bad_sources.begin(), life.bad_sources.end(), n.at.id) != life.bad_sources.end();
-    };
+    const auto bad = [&](const Node& n) { return std::ranges::count(life.bad_sources, n.at.id) > 0; };
     // Danger: writes run at the origin anyway; in a full parent's queue they would wait and fail for nothing.
     if (cls(life.q).uncached && origin_ && !bad(*origin_)) return origin_;
     for (auto* p : ranked(parents_, life.q.object))
@@ -547,16 +545,14 @@
     }
     return f;
   }
-  bool tried(const Life& life, const Node& n) const {
-    return std::any_of(life.attempts.begin(), life.attempts.end(),
-                       [&](auto& a) { return a.server == n.at.id; });
-  }
   // One more attempt: at the set, along the hash order, or, with nobody here, straight to parents and origin.
   bool attempt(Life& life, const Node* again = nullptr) {
     Object& o = objects_[life.q.object];
     auto line = line_for(o, life.q.object);
-    const auto place = [&](const Node* n) { return n == again ? 0 : tried(life, *n) ? 2 : 1; };
-    std::stable_sort(line.begin(), line.end(), [&](Node* a, Node* b) { return place(a) < place(b); });
+    const auto place = [&](const Node* n) {
+      return n == again ? 0 : std::ranges::count(life.attempts, n->at.id, &Attempt::server) ? 2 : 1;
+    };
+    std::ranges::stable_sort(line, {}, place);
     for (auto* n : line) {
       if (!affords(*n)) continue;
       if (!pass(life, *n, fill_for(life, o, *n))) continue;
@@ -783,9 +779,12 @@
   // Danger: a cache that falls silent holds each request until its deadline where no second copy is allowed.
   void look() {
     wake(now_ + kLook, Wake::look);
+    for (auto* n : caches_) n->due = std::numeric_limits<Time>::max() / 2;
     // Danger: a hundred routers that look at every parent by the clock load it more than they learn.
     for (const auto& [id, life] : lives_) {
       const Attempt* a = out(life);
+      if (Node* n = a ? find(a->server) : nullptr)
+        n->due = std::min(n->due, a->sent + static_cast<Time>(a->work * kSecond));
       Node* s = a && a->fetching && now_ > a->sent + late_after(life.q) ? find(a->source) : nullptr;
       if (s && s->at.role == Role::parent && !s->probing && !s->on_trial &&
           now_ >= std::max(s->probed_at, s->last_answer) + kParentLook)
@@ -794,7 +793,7 @@
     // Danger: to one of many routers each cache is silent for long. What is usual tells, not a fixed time.
     const Time mute = std::max(kMute, static_cast<Time>(gap_.value + kLateDevs * gap_.dev));
     for (auto* n : caches_)
-      if (n->out > 0 && !n->probing && !n->on_trial && now_ > std::max(n->idle_until, n->last_answer) + mute)
+      if (n->out > 0 && !n->probing && !n->on_trial && now_ > std::max(n->due, n->last_answer) + mute)
         check(*n);
   }
   void check(Node& n) {
--- a/src/core/engine.cpp
+++ b/src/core/engine.cpp
@@ -249,9 +249,9 @@
   a.number = {static_cast<std::uint32_t>(held.attempts.size())};
   held.attempts.push_back(id);
   a.sent = now_;
-  a.order = {held.id,          held.idempotency_key,   held.held_tag,     held.body,
-             held.object_text, held.request.cls.value, held.request.part, s.server,
-             s.fill,           now_ + s.timeout};
+  a.order = {held.id,          held.idempotency_key,   held.held_tag,        held.body,
+             held.object_text, held.request.cls.value, held.request.part,    s.server,
+             s.fill,           now_ + s.timeout,       sending(held.request)};
   ++held.out;
   // Danger: the client may have left in this very batch, after the module decided to send.
   if (!held.open) return reply(id, {module::Result::moot, false, {}, {}, 0, {}});
@@ -261,6 +261,11 @@
   backend_->send(id, s.server);
 }
 
+Time Engine::sending(const module::Request& q) const {
+  if (q.size_kb <= 0 || settings_.stream_kb_per_s <= 0) return 0;
+  return static_cast<Time>(std::min(q.size_kb / settings_.stream_kb_per_s, 60.0) * 1e6);
+}
+
 void Engine::cancel(const module::Cancel& c) {
   const auto it = held_.find(c.id.value);
   if (it != held_.end() && c.attempt.value < it->second.attempts.size())
--- a/src/core/engine.h
+++ b/src/core/engine.h
@@ -56,6 +56,7 @@
   module::ServerId server;
   std::optional<module::Fill> fill;
   Time deadline = 0;
+  Time sending = 0;  // what the answer takes by itself, at the top pace; 0: not told
 };
 struct Reply {
   module::Result result = module::Result::error;
@@ -122,6 +123,7 @@
   void ask(const module::Event& event);
   void carry_out(const Effect& effect);
   void send(const module::Send& send);
+  Time sending(const module::Request& request) const;
   void cancel(const module::Cancel& cancel);
   void give_up(AttemptId attempt, module::Result result);
   void end(Held& held);
--- a/src/platform/caches.cpp
+++ b/src/platform/caches.cpp
@@ -30,10 +30,10 @@
 }  // namespace
 
 struct Caches::Open {
-  AttemptId attempt = 0;  // 0: a probe
-  core::Time sent = 0;
-  int tries = 1;         // of a probe
-  bool overdue = false;  // a probe told as failed
+  AttemptId attempt = 0;         // 0: a probe
+  core::Time sent = 0, due = 0;  // due: no word is missed before
+  int tries = 1;                 // of a probe
+  bool overdue = false;          // a probe told as failed
   core::Deadlines::Key timeout{};
 };
 struct Caches::Link {
@@ -54,9 +54,9 @@
   core::Time answered_at = 0;   // an attempt, last
   core::Time doubted = 0;       // a probe was overdue then, and nothing came
   bool heard() const { return !doubted || connection->last_read > doubted; }
-  core::Time oldest(core::Time now) const {  // of the attempts open here, when it was sent; now: none is
+  core::Time first(core::Time Open::*when, core::Time now) const {  // of the attempts open here; now: none
     for (const auto& [id, o] : open)
-      if (o.attempt) now = std::min(now, o.sent);
+      if (o.attempt) now = std::min(now, o.*when);
     return now;
   }
   std::size_t load() const { return open.size() + waiting.size() + probes.size(); }
@@ -179,6 +179,7 @@
   Open& open = link.open[std::string(order->id)];
   open.attempt = attempt;
   open.sent = link.used = engine_.now();
+  open.due = open.sent + order->sending;
   link.connection->write(line, order->body, "\r\n");
   link.unwritten.emplace_back(link.connection->queued_total(), attempt);
   mark_written(link);
@@ -263,9 +264,10 @@
 }
 
 // Danger: where a router sends little, most connections are quiet for long while they serve; a look at each
-// would be a probe for every second request. What probes bring out is no measure of that.
+// would be a probe for every second request. What probes bring out is no measure of that, and a large answer
+// in one piece is due only once its own sending time is over.
 void Caches::hear(Link& link) {
-  const core::Time now = engine_.now(), oldest = link.oldest(now);
+  const core::Time now = engine_.now(), oldest = link.first(&Open::sent, now);
   if (oldest < now) gap_.learn(static_cast<double>(now - std::max(oldest, link.answered_at)));
   link.answered_at = now;
 }
@@ -421,7 +423,7 @@
 void Caches::watch(Link& link) {
   const core::Time now = engine_.now();
   if (link.checked && (link.check.empty() || link.connection->last_read >= link.checked)) link.checked = 0;
-  const core::Time quiet = now - std::max(link.oldest(now), link.connection->last_read);
+  const core::Time quiet = now - std::max(link.first(&Open::due, now), link.connection->last_read);
   if (quiet <= std::max(kQuiet, static_cast<core::Time>(gap_.value + kUnusualDevs * gap_.dev))) return;
   // Nothing can be asked behind half an answer.
   if (link.connection->unread() > 0 || (link.checked && now > link.checked + kWord)) {
--- a/src/state.h
+++ b/src/state.h
@@ -17,6 +17,7 @@
   bool on_trial = false, was_silent = false, probing = false, proved = false;
   Time probed_at = 0, idle_until = 0, reset_at = 0;
   Time answered_at = 0;  // an attempt, last
+  Time due = 0;          // the first answer of those out: a large one in one piece is no silence before
   Time silent_from = 0;  // nothing was heard from then on
   int unheard = 0;       // probes failed in a row
   int out = 0;
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -333,6 +333,16 @@
   EXPECT_LE(engine->counters().probes, early + 1) << "the other four waited as the first did";
 }
 
+// Guards against the same for a large answer, which a box gives in one piece after its own sending time.
+TEST_F(Watched, AConnectionIsNotAskedForAWordWhileALargeAnswerIsDue) {
+  auto c = client(front->address());
+  c->write(request(1, "asset", {{"ram", "90000"}}));  // ten seconds at the top pace
+  ASSERT_TRUE(until_but(nullptr, [&] { return fetches() == 1; }));
+  const auto end = net::unix_now() + 900'000;
+  until_but(nullptr, [&] { return net::unix_now() > end; });
+  EXPECT_EQ(engine->counters().probes, 0u);
+}
+
 // Guards against one reset taking all that is open at a box along.
 TEST_F(Platform, ABusyBoxIsSentRequestsOnSeveralConnections) {
   auto c = client(front->address());
