Keep a server's last good address when it is told anew with one that cannot be used

Read once more after the change to bad notices: the unusable text replaced the good one beside it, so that the next notice with the same good address passed for a move and ended the connections (12 requests out, 12 sent again). Now the good text stays.

--- a/src/platform/caches.cpp
+++ b/src/platform/caches.cpp
@@ -90,7 +90,8 @@
   const auto address = net::parse_address(member.address);
   const bool moved = known && address && member.address != s.member.address;
   const bool restarted = known && member.server.born > s.member.server.born;
-  s.member = member;
+  const std::string last_good = std::exchange(s.member, member).address;
+  if (!address) s.member.address = last_good;
   if (address) s.address = *address;
   else if (member.server.status != al::Status::gone)
     engine_.complain(core::Complaint::address, member.name + ' ' + member.address);
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -443,6 +443,11 @@
   ASSERT_TRUE(until([&] { return fetches() == 12; }));
   EXPECT_GT(box[0].count("fetch"), 0u) << "the address that was good stays";
   EXPECT_GT(box[1].count("fetch"), 0u);
+  w->write(listing(4, member("s-a", "nowhere", "in_service")));
+  settle();
+  w->write(listing(5, member("s-a", box[0].address(), "in_service")));
+  settle();
+  EXPECT_EQ(fetches(), 12u) << "the same address once more moves nobody";
   EXPECT_EQ(engine->counters().refused + engine->counters().failed, 0u);
 }
 
