Count and tell bad answers in one place

Read once more: the same three lines stood twice in Caches::take, one condition on the address was asked twice in Caches::update, and the number of complaints was kept by hand beside their list.

--- a/src/core/complaints.h
+++ b/src/core/complaints.h
@@ -16,7 +16,7 @@
 namespace alderspur::core {
 
 enum class Complaint { notice, address, answer, frame, request, connections };
-constexpr std::size_t kComplaints = 6;
+constexpr std::size_t kComplaints = static_cast<std::size_t>(Complaint::connections) + 1;
 
 class Complaints {
  public:
--- a/src/platform/caches.cpp
+++ b/src/platform/caches.cpp
@@ -91,9 +91,9 @@
   const bool moved = known && address && member.address != s.member.address;
   const bool restarted = known && member.server.born > s.member.server.born;
   const std::string last_good = std::exchange(s.member, member).address;
-  if (!address) s.member.address = last_good;
   if (address) s.address = *address;
-  else if (member.server.status != al::Status::gone)
+  else s.member.address = last_good;
+  if (!address && member.server.status != al::Status::gone)
     engine_.complain(core::Complaint::address, member.name + ' ' + member.address);
   // A process that started anew knows nothing of what its forerunner was asked.
   if (moved || restarted)
@@ -224,15 +224,16 @@
 std::ptrdiff_t Caches::take(Link& link, std::string_view bytes) {
   touch(*link.server);
   const auto before = bytes.size();
+  const auto bad = [&]() -> std::ptrdiff_t {
+    ++engine_.counters().bad_answers;
+    engine_.complain(core::Complaint::answer, link.server->member.name);
+    return -1;
+  };
   LineAnswer answer;
   for (;;) {
     const auto parsed = next_answer(bytes, answer);
     if (parsed == Parsed::partial) return static_cast<std::ptrdiff_t>(before - bytes.size());
-    if (parsed == Parsed::unreadable) {
-      ++engine_.counters().bad_answers;
-      engine_.complain(core::Complaint::answer, link.server->member.name);
-      return -1;
-    }
+    if (parsed == Parsed::unreadable) return bad();
     if (!link.check.empty() && answer.id == link.check) {
       link.check.clear();
       continue;
@@ -250,11 +251,7 @@
     const AttemptId attempt = it->second.attempt;
     const auto result = result_of(answer.word);
     // A word of another answer, or an answer to what was not asked whole: nothing here can be trusted.
-    if (!result || !engine_.was_written(attempt) || !plausible(answer, attempt)) {
-      ++engine_.counters().bad_answers;
-      engine_.complain(core::Complaint::answer, link.server->member.name);
-      return -1;
-    }
+    if (!result || !engine_.was_written(attempt) || !plausible(answer, attempt)) return bad();
     if (*result != Result::ok) link.burnt.insert(it->first);
     link.open.erase(it);
     where_.erase(attempt);
