--- a/src/app/run.cpp
+++ b/src/app/run.cpp
@@ -53,8 +53,7 @@
     links =
         std::make_unique<signed_urls::HttpFront>(node.loop(), node.deadlines(), node.engine(), node.config(),
                                                  *settings.links, net::unix_now, routes.get());
-    node.add({[&] { links->end_turn(); }, [&] { links->begin_leaving(), links->stop_listening(); },
-              [&] { return links->idle(); }});
+    node.add({[&] { links->end_turn(); }, [&] { links->leave(); }, [&] { return links->idle(); }});
     log.record("signed", log::Level::info, "listening", {{"address", net::to_string(links->address())}});
   }
   std::unique_ptr<xds::Server> discovery;
--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -253,13 +253,17 @@
 }
 
 // Danger: what the kernel has completed for a listener that closes is reset, and its client's request lost.
-void Listener::stop_empty() {
+bool Listener::stop_empty(bool all) {
+  spare_ = Fd();
   while (watcher_) {
+    if (!all && !may_accept_()) return false;
     Fd fd(::accept4(fd_.get(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC));
     if (fd.get() >= 0) on_accept_(std::move(fd));
+    else if (!all && (errno == EMFILE || errno == ENFILE)) return false;
     else if (errno != EINTR && errno != ECONNABORTED) break;
   }
   stop();
+  return true;
 }
 
 void Listener::keep_spare() {
--- a/src/net/connection.h
+++ b/src/net/connection.h
@@ -113,7 +113,9 @@
   // One descriptor is kept back for when the process has none left, so that a caller still gets in; taken
   // anew by this once there is room again.
   void keep_spare();
-  void stop_empty();  // takes what the kernel holds for us, then stops
+  // Takes what the kernel holds for us, then stops; false: there is no room for all of it, and it goes on.
+  // `all`: whatever the budget says, as long as there are descriptors.
+  bool stop_empty(bool all = true);
   sockaddr_in address() const;
   void stop();
   std::uint64_t put_off = 0;
--- a/src/platform/caches.cpp
+++ b/src/platform/caches.cpp
@@ -26,6 +26,8 @@
 // word, is asked for one; without it, it is lost.
 constexpr core::Time kWatch = 50'000, kQuiet = 250'000, kWord = 300'000;
 constexpr double kUnusualDevs = 4;  // mean deviations above the mean
+// Half an answer has so long, and twice the sending time of what is open, to become whole.
+constexpr core::Time kHalf = 1'500'000;
 
 }  // namespace
 
@@ -52,6 +54,7 @@
   bool retired = false, dead = false;
   core::Time used = 0, up = 0;  // up: since when it can be written to
   core::Time answered_at = 0;   // an attempt, last
+  core::Time half_since = 0;    // half an answer is here, 0: none
   core::Time doubted = 0;       // a probe was overdue then, and nothing came
   bool heard() const { return !doubted || connection->last_read > doubted; }
   core::Time first(core::Time Open::*when, core::Time now) const {  // of the attempts open here; now: none
@@ -93,8 +96,10 @@
   if (!address && member.server.status != al::Status::gone)
     engine_.complain(core::Complaint::address, member.name + ' ' + member.address);
   // A process that started anew knows nothing of what its forerunner was asked.
-  if (moved || restarted)
+  if (moved || restarted) {
+    give_back(member.server.id);  // nobody is to blame for what waited
     for (std::size_t i = 0, n = s.links.size(); i < n; ++i) lost(*s.links[i], net::Closed::reset);
+  }
   if (member.server.status != al::Status::ready) out_of_service(s);
   return member.server.status == al::Status::gone || s.address.sin_port != 0;
 }
@@ -247,6 +252,7 @@
     const auto parsed = next_answer(bytes, answer);
     if (parsed == Parsed::partial) return static_cast<std::ptrdiff_t>(before - bytes.size());
     if (parsed == Parsed::unreadable) return bad();
+    link.half_since = 0;
     if (!link.check.empty() && answer.id == link.check) {
       link.check.clear();
       continue;
@@ -465,10 +471,25 @@
       if (Link& link = *s->links[i]; !link.dead && !link.connection->connecting()) watch(link);
 }
 
+// Danger: an answer that comes byte by byte for ever keeps its connection from looking silent, and all others
+// wait behind it.
+bool Caches::never_ends(Link& link, core::Time now) {
+  if (link.connection->unread() == 0) return link.half_since = 0, false;
+  if (!link.half_since) link.half_since = now;
+  core::Time sending = 0;
+  for (const auto& [id, o] : link.open)
+    if (o.attempt) sending = std::max(sending, o.due - o.sent);
+  return now > link.half_since + kHalf + 2 * sending;
+}
+
 // Danger: after an answer that stops short or never comes, a connection stays open and is of no further use,
 // also for the other requests on it; the machine behind it is well.
 void Caches::watch(Link& link) {
   const core::Time now = engine_.now();
+  if (never_ends(link, now)) {
+    ++engine_.counters().silent_links;
+    return lost(link, net::Closed::unreadable);
+  }
   if (link.checked && (link.check.empty() || link.connection->last_read >= link.checked)) link.checked = 0;
   const core::Time quiet = now - std::max(link.first(&Open::due, now), link.connection->last_read);
   if (quiet <= std::max(kQuiet, static_cast<core::Time>(gap_.value + kUnusualDevs * gap_.dev))) return;
--- a/src/platform/caches.h
+++ b/src/platform/caches.h
@@ -65,6 +65,7 @@
   void probe(alderspur::ServerId server, core::Time since, int tries);
   void watch_links();
   void watch(Link& link);
+  bool never_ends(Link& link, core::Time now);
   Link* link_for_probe(Server& server, bool fresh);
   void overdue(Link& link, const std::string& tag);
   void forget(Link& link, const std::string& tag);
--- a/src/platform/rpc.h
+++ b/src/platform/rpc.h
@@ -27,6 +27,7 @@
 // What the settings say of the requests of a class.
 struct Form {
   bool keyed = false, write = false;
+  bool harmless = false;   // may be tried again though it may have run
   core::Time longest = 0;  // that a client waits, 0: not told
 };
 // The request's fields in the core's terms; false if a field is missing, unusable or out of its range.
--- a/src/platform/rpc_front.cpp
+++ b/src/platform/rpc_front.cpp
@@ -20,12 +20,14 @@
 constexpr core::Time kRetryAfter = 500'000;  // advice to clients that ask for more than they may
 // A client that says nothing, or not all of it, is owed an end. Those of the platform close after 4 s idle.
 constexpr core::Time kWatch = 200'000, kWord = 2'000'000, kIdle = 5'000'000, kUntaken = 5'000'000;
+constexpr core::Time kMessage = 5'000'000;  // for the whole of a message where no time limit is told
 // Under pressure idle clients give way, but not before what they may just be sending can arrive.
 constexpr core::Time kNew = 150'000, kFresh = 250'000;
 // Where another process takes over: until handshakes under way are over; how often busy clients are looked
 // at.
 constexpr core::Time kSteered = 100'000, kPartEvery = 10'000;
 constexpr std::size_t kOwnFds = 28;  // of one process, beside clients and servers
+constexpr std::size_t kLate = 8;     // places for those who are only told that we leave, beside busy ones
 
 }  // namespace
 
@@ -52,10 +54,15 @@
       engine_(engine),
       config_(config),
       most_clients_(static_cast<std::size_t>(config.sockets) / 2),
-      memory_(config.memory_mb << 20) {
+      memory_(config.memory_mb << 20),
+      longest_(kWord) {
   for (std::size_t i = 0; i < config.names.classes.size(); ++i) {
     const auto& c = config.settings.classes[i];
-    const Form form{c.repeat == alderspur::Repeat::keyed, c.uncached, config.names.give_up[i]};
+    const bool keyed = c.repeat == alderspur::Repeat::keyed;
+    const bool harmless =
+        c.repeat == alderspur::Repeat::safe || (keyed && c.dedup_scope == alderspur::DedupScope::all);
+    const Form form{keyed, c.uncached, harmless, config.names.give_up[i]};
+    longest_ = std::max(longest_, form.longest > 0 ? form.longest : kMessage);
     classes_[config.names.classes[i]] = {static_cast<std::uint32_t>(i), form};
   }
   watch();
@@ -86,7 +93,9 @@
 }
 
 // Connections that are being closed hold descriptors as well; they give way first.
-bool RpcFront::may_accept() { return loop_.lingering().fit(live_, most_clients_) || make_room(); }
+bool RpcFront::may_accept() {
+  return loop_.lingering().fit(live_, most_clients_ + (leaving_ ? kLate : 0)) || make_room();
+}
 
 // Danger: connections that say nothing, or have asked once and stay for good, keep the others waiting
 // outside. Who only asked for the status, or for what nobody can use, has its answer
@@ -124,7 +133,10 @@
     if (c->dead) continue;
     const auto taken = c->connection->written_total();
     if (c->queued == 0 || taken != c->taken) c->taken = taken, c->taken_at = now;
-    const bool silent = (!c->asked && now > c->since + kWord) || (c->begun && now > c->begun + kWord);
+    // A message may be long and the way slow: as long as some of it comes it has the time of a request.
+    const core::Time word = std::max(c->since, c->connection->last_read);
+    const bool half = c->begun && (now > word + kWord || now > c->begun + longest_);
+    const bool silent = half || (!c->asked && !c->begun && now > c->since + kWord);
     const bool idle = c->open.empty() && c->queued == 0 && now > c->idle + kIdle;
     const bool untaken = now > c->taken_at + kUntaken;
     if (!silent && !idle && !untaken) continue;
@@ -197,13 +209,18 @@
     return true;
   }
   // Bounds of this process, not of the service: nothing ran, so trying again is harmless.
-  // So is what comes too late for us to finish, and a request that is still open, or being called off, under
-  // its id: beside what is out of it another attempt would be the second.
+  // So is what comes too late for us to finish.
   if (leaving_ || client.ending || client.queued > kQueueFull || client.open.size() >= kOpenMost ||
-      engine_.held_bytes() + queued_ > memory_ / kHeldPart || engine_.holds(demand.id)) {
+      engine_.held_bytes() + queued_ > memory_ / kHeldPart) {
     refuse(client, c.id, found->second.first);
     return true;
   }
+  // Danger: under this id a request is still open, or being called off; another attempt would be the second
+  // beside what is out of it. That one may have run.
+  if (engine_.holds(demand.id)) {
+    refuse(client, c.id, found->second.first, found->second.second.harmless);
+    return true;
+  }
   demand.cls = found->second.first;
   const core::Ticket ticket = engine_.take(*this, demand);
   client.open[c.id] = ticket;
@@ -212,12 +229,14 @@
   return true;
 }
 
-void RpcFront::refuse(Client& client, std::uint64_t id, std::uint32_t cls) {
+// Not harmless: it may have run all the same, so the client is not told that it can try again.
+void RpcFront::refuse(Client& client, std::uint64_t id, std::uint32_t cls, bool harmless) {
   const auto& s = config_.settings;
-  const core::Time later = s.retry_after ? std::min(kRetryAfter, s.max_retry_after) : 0;
+  const core::Time later = harmless && s.retry_after ? std::min(kRetryAfter, s.max_retry_after) : 0;
+  const auto verdict = harmless ? core::Verdict::refused : core::Verdict::failed;
   ++engine_.counters().too_much;
-  engine_.turned_away(cls, core::Verdict::refused);
-  reply(client, id, {core::Verdict::refused, false, later, {}, {}, false});
+  engine_.turned_away(cls, verdict);
+  reply(client, id, {verdict, false, later, {}, {}, false});
 }
 
 void RpcFront::answer(core::Ticket ticket, const core::Answer& answer) {
@@ -315,6 +334,7 @@
 void RpcFront::part() {
   parts_ = parting_ || leaving_;
   if (!parts_) return;
+  if (leaving_ && listener_ && listener_->stop_empty(false)) listener_.reset();
   const core::Time now = engine_.now(), third = std::max<core::Time>(1, (leave_by_ - parting_since_) / 3);
   for (auto& c : clients_) {
     if (c->dead) continue;
@@ -340,14 +360,14 @@
 
 void RpcFront::leave() {
   if (std::exchange(leaving_, true)) return;
-  if (listener_) listener_->stop_empty(), listener_.reset();
   if (!std::exchange(parts_, true)) part();
 }
 
 void RpcFront::end() {
   leave();
-  for (auto& c : clients_)
-    if (!c->dead) see_off(*c);
+  if (listener_) listener_->stop_empty(), listener_.reset();
+  for (auto& c : clients_)  // who has just come is refused and goes by part()
+    if (!c->dead && (c->asked || c->begun || engine_.now() > c->since + kNew)) see_off(*c);
 }
 
 void RpcFront::cut() {
@@ -355,7 +375,7 @@
   while (loop_.lingering().cut_oldest()) {}
 }
 
-bool RpcFront::gone() const { return live_ == 0 && loop_.lingering().size() == 0; }
+bool RpcFront::gone() const { return !listener_ && live_ == 0 && loop_.lingering().size() == 0; }
 
 void RpcFront::take_back() {
   if (!std::exchange(parting_, false) || leaving_) return;
--- a/src/platform/rpc_front.h
+++ b/src/platform/rpc_front.h
@@ -44,7 +44,7 @@
   std::ptrdiff_t take(Client& client, std::string_view bytes);
   bool call(Client& client, const Call& call);
   void reply(Client& client, std::uint64_t id, const core::Answer& answer);
-  void refuse(Client& client, std::uint64_t id, std::uint32_t cls);
+  void refuse(Client& client, std::uint64_t id, std::uint32_t cls, bool harmless = true);
   void lost(Client& client, net::Closed why);
   void let_go(Client& client, bool orderly);
   void touch(Client& client);
@@ -64,6 +64,7 @@
   const config::Config& config_;
   std::unordered_map<std::string, std::pair<std::uint32_t, Form>> classes_;
   std::size_t most_clients_, memory_;
+  core::Time longest_;                            // that any client waits
   std::vector<std::unique_ptr<Client>> clients_;  // in no order; each knows its place
   std::vector<Client*> touched_;                  // of this turn, each once
   std::size_t live_ = 0, queued_ = 0,
--- a/src/signed/http_front.cpp
+++ b/src/signed/http_front.cpp
@@ -10,6 +10,7 @@
 namespace alderspur::signed_urls {
 namespace {
 
+constexpr core::Time kNew = 150'000;  // what a client that has just come asks may still be on its way
 constexpr core::Time kIdle = 15'000'000, kHeadTime = 10'000'000, kWriteTime = 30'000'000;
 constexpr std::size_t kInputMost = 64 << 10;  // pipelined requests that wait their turn; more end the client
 
@@ -26,6 +27,7 @@
 struct HttpFront::Client {
   std::unique_ptr<net::Connection> connection;
   core::Ticket ticket = 0;  // one request at a time: answers go out in the order of the requests
+  core::Time since = 0;     // accepted
   bool head = false, keep_alive = true;
   bool dead = false, ending = false;
   bool orderly = false;  // dead, and its connection is closed in order
@@ -76,6 +78,7 @@
   handler.on_close = [this, raw](net::Closed) { drop(*raw, false); };
   raw->connection = std::make_unique<net::Connection>(loop_, std::move(fd), false, std::move(handler));
   raw->place = clients_.size();
+  raw->since = engine_.now();
   clients_.push_back(std::move(client));
   wait(*raw, kHeadTime);
 }
@@ -252,9 +255,22 @@
   }
 }
 
+void HttpFront::leave() {
+  leaving_ = true;
+  listener_.stop_empty();
+  for (auto& c : clients_)
+    if (rests(*c)) drop(*c, true);
+}
+
+bool HttpFront::rests(const Client& c) const {
+  return !c.ticket && c.connection->unwritten() == 0 && c.connection->unread() == 0 &&
+         !c.connection->arrived() && engine_.now() > c.since + kNew;
+}
+
 bool HttpFront::idle() const {
-  return asked_.empty() && std::all_of(clients_.begin(), clients_.end(),
-                                       [](auto& c) { return c->dead || c->connection->unwritten() == 0; });
+  return asked_.empty() && std::all_of(clients_.begin(), clients_.end(), [&](auto& c) {
+           return c->dead || rests(*c) || (!c->ticket && c->connection->unread() > 0);
+         });
 }
 
 }  // namespace alderspur::signed_urls
--- a/src/signed/http_front.h
+++ b/src/signed/http_front.h
@@ -25,9 +25,10 @@
 
   void answer(core::Ticket ticket, const core::Answer& answer) override;
   void end_turn();
-  void begin_leaving() { leaving_ = true; }  // answers end their connections from now on
-  void stop_listening() { listener_.stop(); }
-  bool idle() const;
+  // Nobody new is taken beside those whose connect the kernel has completed; answers end their connections
+  // from now on, and who asks nothing goes by a lingering close.
+  void leave();
+  bool idle() const;  // nothing is owed, and nobody has just come
   sockaddr_in address() const { return listener_.address(); }
 
  private:
@@ -41,6 +42,7 @@
   void drop(Client& client, bool orderly);
   void touch(Client& client);
   void settle(Client& client);
+  bool rests(const Client& client) const;
   void wait(Client& client, core::Time time);
 
   net::Loop& loop_;
--- a/tests/crossings_test.cpp
+++ b/tests/crossings_test.cpp
@@ -138,6 +138,17 @@
   EXPECT_EQ(engine->counters().sent, 1u);
 }
 
+TEST_F(Crossing, AClientThatLeavesInTheMiddleOfAMessageLeavesNothing) {
+  auto ends = client(front->address()), resets = client(front->address());
+  for (auto* c : {ends.get(), resets.get()}) c->write(request(1, "asset", {}).substr(0, 30));
+  settle();
+  ends->half_close();
+  resets->reset();
+  ASSERT_TRUE(until([&] { return ends->ended; }));
+  settle();
+  EXPECT_EQ(engine->counters().taken, 0u);
+}
+
 // Guards against further attempts for a client that has closed its connection.
 TEST_F(Crossing, AfterAClientsEndNoFurtherAttemptBegins) {
   auto c = client(front->address());
@@ -185,14 +196,23 @@
   EXPECT_EQ(engine->held(), 0u);
 }
 
-// Guards against two attempts out under one id, when a request comes again while it is still open.
-TEST_F(Crossing, ATransactionThatComesAgainWhileItIsOpenIsRefused) {
+// Guards against two attempts out under one id, when a request comes again while it is still open. Where a
+// repeat would do harm it is not told that it may try again.
+class Again : public Crossing, public ::testing::WithParamInterface<bool> {
+ protected:
+  void SetUp() override {
+    if (!GetParam()) set("repeat", "\"safe\"", "\"unsafe\"");
+    Crossing::SetUp();
+  }
+};
+INSTANTIATE_TEST_SUITE_P(Harmless, Again, ::testing::Bool());
+TEST_P(Again, ATransactionIsTurnedAwayWhileItIsOpen) {
   auto first = client(front->address()), again = client(front->address());
   first->write(request(1, "asset", {}));
   ASSERT_TRUE(until([&] { return fetches() == 1; }));
   again->write(request(1, "asset", {}));
   ASSERT_TRUE(until([&] { return answers(again->in).size() == 1; }));
-  EXPECT_EQ(answers(again->in)[0].error, "Busy");
+  EXPECT_EQ(answers(again->in)[0].error, GetParam() ? "Busy" : "Failed");
   EXPECT_EQ(fetches(), 1u);
   answer_all("bytes");
   ASSERT_TRUE(until([&] { return answers(first->in).size() == 1; }));
@@ -200,6 +220,21 @@
   ASSERT_TRUE(until([&] { return engine->counters().sent == 2; })) << "over, it is free again";
 }
 
+// Guards against the largest requests being cut off where the way is slow; who says nothing more is.
+TEST_F(Crossing, ALargeRequestThatComesSlowlyIsTaken) {
+  auto slow = client(front->address()), stops = client(front->address());
+  const std::string all = request(1, "plan-accept", {{"unique", kKey}}, std::string(40'000, 'w'));
+  stops->write(all.substr(0, 20'000));
+  for (std::size_t at = 0; at < all.size(); at += 10'000) {  // five parts, over the 2 s of one that stops
+    slow->write(all.substr(at, 10'000));
+    until([&, end = net::unix_now() + 700'000] { return net::unix_now() > end; });
+  }
+  ASSERT_TRUE(until([&] { return fetches() == 1; }));
+  EXPECT_FALSE(slow->ended);
+  EXPECT_TRUE(stops->ended);
+  EXPECT_EQ(fetch()->body.size(), 40'000u);
+}
+
 // ---- Closing ----------------------------------------------------------------------------------------
 
 // Guards against a close over unread bytes: it resets the connection, and answers go with it.
@@ -227,6 +262,22 @@
   ASSERT_TRUE(until([&] { return loop.lingering().size() == 0; })) << "none has ended its side";
 }
 
+// The signed front's end: who rests is ended in order, who has just come is answered.
+TEST_F(Crossing, AtTheSignedFrontsEndNobodyIsResetAndWhoHasJustComeIsAnswered) {
+  auto rests = client(http->address());
+  rests->write("GET /nowhere HTTP/1.1\r\nHost: x\r\n\r\n");
+  ASSERT_TRUE(until([&] { return rests->in.starts_with("HTTP/1.1 404"); }));
+  settle();
+  auto comes = client(http->address());
+  comes->write("GET /nowhere HTTP/1.1\r\nHost: x\r\n\r\n");  // the kernel has it, the front has not
+  http->leave();
+  EXPECT_FALSE(http->idle()) << "what has come is owed an answer";
+  ASSERT_TRUE(until([&] { return rests->ended && comes->ended; }));
+  EXPECT_TRUE(comes->in.starts_with("HTTP/1.1 404"));
+  EXPECT_FALSE(rests->was_reset || comes->was_reset);
+  ASSERT_TRUE(until([&] { return http->idle(); }));
+}
+
 // ---- The list, and sends that wait ------------------------------------------------------------------
 
 // Guards against a send that was decided before a drain and leaves after it.
@@ -404,6 +455,40 @@
   EXPECT_NE(fetch()->from, first.from);
 }
 
+// Guards against an answer that comes byte by byte for ever: what is behind it must not wait for it.
+TEST_F(Crossing, AnAnswerThatNeverEndsIsGivenUpAndWhatIsBehindItMovesOn) {
+  auto c = client(front->address());
+  c->write(request(1, "asset", {{"ram", "9"}}) + request(2, "asset", {{"ram", "9"}}));
+  ASSERT_TRUE(until([&] { return fetches() == 2; }));
+  const Command got = *fetch(1);
+  ASSERT_EQ(fetch(2)->from, got.from);
+  got.from->write(got.id + " served " + loopback::dated("t") + " 240000\r\n");
+  ASSERT_TRUE(until([&] { return got.from->write("x"), fetches() == 4; }));
+  for (auto& b : box)
+    for (auto& cmd : b.commands)
+      if (cmd.from != got.from) Box::answer(cmd, "served", "whole");
+  ASSERT_TRUE(until([&] { return answers(c->in).size() == 2; }));
+  for (const auto& a : answers(c->in)) EXPECT_EQ(a.body, "whole");
+}
+
+// A start that is told while a connect hangs: what waited counts against the new process, and is no failure.
+TEST_F(Dialing, AStartToldWhileAConnectHangsGivesBackWhatWaitsForIt) {
+  auto c = client(front->address());
+  ask(*c);
+  watch_->write(event(3, "s-b", box[1].address(), "in_service"));
+  auto again = event(4, "s-a", late.address(), "in_service");
+  const std::string born = "\"up_since_ms\":";
+  again.replace(again.find(born), born.size() + 1, born + std::to_string(net::unix_now() / 1000));
+  watch_->write(again);
+  ASSERT_TRUE(until([&] { return box[1].count("fetch") == 1; })) << "its budget is empty yet";
+  answer_all("bytes");
+  ASSERT_TRUE(until([&] { return answers(c->in).size() == 1; }));
+  for (const auto& s : engine->standings()) EXPECT_TRUE(s.usable);
+  ASSERT_TRUE(comes_up() || late.alive() == 0);
+  settle();
+  EXPECT_FALSE((late.let_up(), late.got("fetch")));
+}
+
 // An answer and the end of its connection arrive together.
 TEST_F(Crossing, AnAnswerBeforeTheEndOfItsConnectionCounts) {
   auto c = client(front->address());
--- a/tests/ending_test.cpp
+++ b/tests/ending_test.cpp
@@ -62,6 +62,51 @@
   EXPECT_EQ(program->exit_code(), 0) << "though its clients keep their side open";
 }
 
+// Everything is ready in the one turn in which the signal is heard: the process sleeps while it arrives.
+TEST_F(Ending, WhateverIsReadyInTheTurnOfTheSignalIsHeard) {
+  sockaddr_in board{};
+  const int listener = loopback::bound(board);
+  ::listen(listener, 4);
+  start(config_with(box, net::to_string(board)));
+  loopback::Socket watch(::accept(listener, nullptr, nullptr));
+  const auto first = client(), second = client(), half = client();
+  first->write(asks(1) + asks(2));
+  second->write(asks(11));
+  half->write(asks(21).substr(0, 20));
+  ASSERT_TRUE(wait([&] { return box.count("fetch") == 3 && watch.in == "watch 1\n"; }, {&watch}));
+  program->signal(SIGSTOP);
+  first->write(loopback::withdraw(2) + asks(3));
+  second->half_close();
+  half->write(asks(21).substr(20) + asks(22).substr(0, 20));
+  const auto comes = client();
+  comes->write(asks(31));
+  watch.write("{\"rev\":2,\"flush\":{\"collection\":17,\"ms\":" + std::to_string(net::unix_now() / 1000) +
+              "}}\n{\"rev\":3,\"flu");
+  program->configure("{");
+  program->signal(SIGHUP);
+  program->signal(SIGTERM);
+  program->signal(SIGCONT);
+  ASSERT_TRUE(wait([&] { return box.count("fetch") == 6 && box.count("abort") == 1; }, {}));
+  for (std::size_t i = 3; i < box.commands.size(); ++i) {
+    const auto& c = box.commands[i];
+    EXPECT_TRUE(c.word != "fetch" || c.fields.contains("agelim")) << i;
+  }
+  for (const auto& c : box.commands)
+    if (c.word == "fetch") Box::answer(c, "served", "bytes");
+  const auto all = {first.get(), second.get(), half.get(), comes.get()};
+  ASSERT_TRUE(
+      wait([&] { return std::all_of(all.begin(), all.end(), [](auto* s) { return s->ended; }); }, all));
+  EXPECT_EQ(answers(first->in).size(), 2u);
+  for (auto* s : {second.get(), half.get(), comes.get()}) EXPECT_EQ(answers(s->in).size(), 1u);
+  for (auto* s : all) {
+    EXPECT_FALSE(s->was_reset);
+    for (const auto& a : answers(s->in)) EXPECT_EQ(a.body, "bytes");
+  }
+  EXPECT_EQ(program->line().rfind("reload: ", 0), 0u);
+  EXPECT_EQ(program->exit_code(), 0);
+  ::close(listener);
+}
+
 // Guards against a hung cache holding an answer until the process is killed: 0.7 s and the longest time that
 // a client waits, 3 s at most, after the signal.
 TEST_F(Ending, WhatAHungCacheHoldsIsAnsweredAheadOfTheKill) {
@@ -131,6 +176,30 @@
   }
 }
 
+// A board that hangs and much that is known already hold up nobody.
+TEST(Starting, IsReadyWhateverTheBoardDoesAndHoweverMuchIsKnown) {
+  Box box;
+  sockaddr_in board{};
+  const int listener = loopback::bound(board);  // nobody listens, then nobody accepts
+  auto config = config_with(box, net::to_string(board));
+  std::string known;
+  for (int i = 2; i <= 5000; ++i)
+    known += ",{\"rev\":" + std::to_string(i) + R"(,"pool":{"complete":false,"members":[{"id":"x)" +
+             std::to_string(i) + R"(","host_port":"127.0.0.9:)" + std::to_string(i) +
+             R"(","locality":"edge","flavor":"small","phase":"terminated","size":4}]}})";
+  const std::string end = "]}}]},";
+  config.insert(config.find(end) + 3, known);
+  config.replace(config.find("\"rev\":1,\"notices\""), 17, "\"rev\":5000,\"notices\"");
+  ::listen(listener, 0);
+  const auto begun = net::unix_now();
+  Program p(config);
+  const auto c = loopback::dial(p.address());
+  c->write(request(1, "status", {}) + asks(2));
+  ASSERT_TRUE(until([&] { return box.count("fetch") == 1; }, box, {c.get()}));
+  EXPECT_LT(net::unix_now() - begun, 10'000'000);
+  ::close(listener);
+}
+
 // Idle clients on all places, and the board away: when it is back it is dialed, and a new client is served.
 TEST(Descriptors, IdleClientsKeepNeitherTheBoardNorCachesNorNewClientsOut) {
   Box box;
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -636,6 +636,30 @@
   }
 }
 
+// A client leaves in the turn in which its attempt fails, or in the 50 ms before the next one may leave.
+TEST_F(Core, ForAClientThatHasLeftNoNextAttemptBegins) {
+  for (const bool ended_its_side : {false, true})
+    for (const bool in_the_turn : {true, false}) {
+      recorder.sent.clear();
+      const auto ticket = take();
+      engine->run();
+      ASSERT_EQ(recorder.sent.size(), 1u);
+      engine->written(recorder.sent[0]);
+      const auto result = in_the_turn ? alderspur::Result::full : alderspur::Result::reset;
+      engine->reply(recorder.sent[0], {result, false, {}, {}, 0, {}});
+      if (ended_its_side) engine->begin_no_more(ticket), time += in_the_turn ? 50'000 : 0;
+      else engine->withdraw(ticket);
+      engine->run();
+      time += 50'000;
+      deadlines.sweep(time);
+      engine->run();
+      EXPECT_EQ(recorder.sent.size(), 1u) << ended_its_side << in_the_turn;
+      EXPECT_EQ(engine->held(), 0u);
+      EXPECT_FALSE(engine->holds("a"));
+    }
+  EXPECT_EQ(recorder.answers.size(), 2u) << "who may still be there is answered";
+}
+
 TEST_F(Core, APurgeHeardBeforeTheWritingTightensTheAge) {
   take();
   engine->run();
