A story for clients that pile up requests at the signed front

The front no longer stops reading behind 64 KiB of waiting requests, so that a client's end is heard; more ends it. Seen failing with that bound taken out: the client's end was not acted on until its request's own time was over.

--- a/tests/signed_test.cpp
+++ b/tests/signed_test.cpp
@@ -163,6 +163,29 @@
   EXPECT_NE(last_.find("Content-Length: 5"), std::string::npos);
 }
 
+// Guards against a client whose end is not heard behind what it has piled up: not read, it would wait there.
+TEST_F(Signed, WhoPilesUpRequestsBehindAnOpenOneIsEndedWithinBounds) {
+  for (const bool much : {false, true}) {
+    auto c = client(http->address());
+    const auto before = fetches();
+    const auto withdrawn = engine->counters().withdrawn;
+    c->write(get(link(now() + 60)));
+    ASSERT_TRUE(until([&] { return fetches() == before + 1; }));
+    const std::string one = get("/none");
+    std::string all;
+    while (all.size() < (much ? 100'000u : 50'000u)) all += one;
+    ASSERT_TRUE(until([&] { return all.erase(0, c->write_some(all)), all.empty(); }));
+    if (!much) {
+      settle();
+      EXPECT_FALSE(c->ended) << "so much may wait";
+    }
+    watched.clear();
+    if (!much) c->reset();
+    ASSERT_TRUE(until([&] { return engine->counters().withdrawn == withdrawn + 1; }));
+    EXPECT_EQ(engine->held(), 0u);
+  }
+}
+
 TEST_F(Signed, PipelinedRequestsAreAnsweredInOrderAndAClientThatLeavesIsOwedNothing) {
   auto c = client(http->address());
   c->write(get(kPath) + get(link(now() + 60)) + get("/none"));
