--- a/tests/crossings_test.cpp
+++ b/tests/crossings_test.cpp
@@ -25,8 +25,6 @@
         if (std::exchange(c.word, "answered") == "fetch") Box::answer(c, "served", body);
   }
   std::size_t aborts() const { return box[0].count("abort") + box[1].count("abort"); }
-  Box& other(const Box& b) { return &b == &box[0] ? box[1] : box[0]; }
-  const char* name_of(const Box& b) const { return &b == &box[0] ? "s-a" : "s-b"; }
   std::string object(unsigned n) {
     char out[17];
     std::snprintf(out, sizeof out, "%016x", n);
@@ -94,6 +92,11 @@
   bool comes_up() {
     return until([&] { return late.let_up(), late.alive() > 0; });
   }
+  void come_up_and_send_nothing() {
+    ASSERT_TRUE(comes_up());
+    settle();
+    EXPECT_FALSE((late.let_up(), late.got("fetch")));
+  }
   Late late;
   std::unique_ptr<loopback::Socket> watch_;
 };
@@ -191,18 +194,14 @@
   c->half_close();
   ASSERT_TRUE(until([&] { return c->ended; })) << "answered at once: nothing is out";
   EXPECT_EQ(answers(c->in).size(), 1u);
-  ASSERT_TRUE(comes_up());
-  settle();
-  EXPECT_FALSE((late.let_up(), late.got("fetch")));
+  come_up_and_send_nothing();
 }
 TEST_F(Dialing, AfterACancelWhatWaitsForAConnectIsNotSent) {
   auto c = client(front->address());
   ask(*c);
   c->write(loopback::withdraw(1));
   ASSERT_TRUE(until([&] { return engine->held() == 0; }));
-  ASSERT_TRUE(comes_up());
-  settle();
-  EXPECT_FALSE((late.let_up(), late.got("fetch")));
+  come_up_and_send_nothing();
   EXPECT_TRUE(answers(c->in).empty());
 }
 
@@ -312,9 +311,7 @@
   ASSERT_TRUE(until([&] { return box[1].count("fetch") == 1; })) << "it moves on at once";
   answer_all("bytes");
   ASSERT_TRUE(until([&] { return answers(c->in).size() == 1; }));
-  ASSERT_TRUE(comes_up());
-  settle();
-  EXPECT_FALSE((late.let_up(), late.got("fetch")));
+  come_up_and_send_nothing();
 }
 TEST_F(Dialing, ASourceThatDrainsWhileAConnectHangsIsNotNamed) {
   auto c = client(front->address());
