A floors frame with a malformed list of requested buckets is rejected

Callers saw: a router accepted such a frame, applied half of it and answered no bucket; `refused` did not grow, so a faulty peer stayed unnoticed.

Cause: Reader::array() returns 0 for an element that is no array, and handle_floors() checked the reader only inside the loop over the elements, which then never ran.

Evidence: Replica.RejectsFloorsFrameWhenListOfBucketsIsMalformed, unchanged, on: rejected is 0, not 1 (known to fail until now). The check after the list has been entered is what a frame of another type fails at, before anything is applied.

--- a/src/replication/replica.cpp
+++ b/src/replication/replica.cpp
@@ -253,6 +253,7 @@
   if (!fields.ok()) return false;
   std::vector<PurgeFloor> requested;
   const auto bucket_count = fields.array(kMaxFloorsPerFrame);
+  if (!fields.ok()) return false;
   for (std::uint32_t i = 0; i < bucket_count; ++i) {
     Reader entry = fields.element(i, 1);
     const auto bucket = static_cast<std::size_t>(entry.number(kBuckets - 1));
--- a/tests/replication/replica_test.cpp
+++ b/tests/replication/replica_test.cpp
@@ -168,7 +168,7 @@
   EXPECT_GT(network.replica("r1").counters().rejected, 2000U);
 }
 
-// Known to fail, see KNOWN-RED.txt: the list is taken for an empty one.
+// Guards against a malformed list of requested buckets that counts as an empty one.
 TEST(Replica, RejectsFloorsFrameWhenListOfBucketsIsMalformed) {
   alderspur::msgpack_codec::Writer frame;
   frame.array(4).number(static_cast<std::uint64_t>(FrameKind::floors)).number(0).array(0).number(7);
