Restoring the bans no longer hides that a process could not publish its status

Callers saw: operators read the same problem of the shared directory twice, as if it had ended and begun again, while it lasted.

Cause: HotRestartCoordinator::poll() assigned the result of restore_bans(), also a success, over the error of publish().

--- a/src/hot_restart/coordinator.cpp
+++ b/src/hot_restart/coordinator.cpp
@@ -124,7 +124,8 @@
   result.peers = directory.read_peers();
   result.bans = directory.read_bans();
   if (result.bans.list.serial < known_bans.serial) {
-    result.error = directory.restore_bans(known_bans);
+    const auto restore_error = directory.restore_bans(known_bans);
+    if (!result.error) result.error = restore_error;
   }
   return result;
 }
--- a/tests/hot_restart/coordinator_test.cpp
+++ b/tests/hot_restart/coordinator_test.cpp
@@ -68,8 +68,8 @@
   EXPECT_TRUE(without_disk->is_banned("s-2")) << "the ban is in effect all the same";
 }
 
-// Known to fail, see KNOWN-RED.txt: restoring the bans hides that the status could not be
-// published, so that the next poll logs the same problem as a new one.
+// Guards against restored bans that hide a status that could not be published: the next poll logged
+// the same problem as a new one.
 TEST_F(HotRestartCoordinatorTest, LogsALastingProblemOnceWhenBansAreRestored) {
   std::vector<SharedDirectory> others;
   for (int i = 0; i < 4; ++i) {  // all slots
