Replicas that a bound keeps different exchange their bans once a comparison

Callers saw: with a bound reached (1,024 bans, 4,096 authors, 4,096 changes beyond a gap) two routers with different bans sent each other full sets without end: links and loops of both full, heartbeats late.

Cause: Replica answered a full set with a full set as long as the digests differed; a copy that must refuse changes stays different for ever.

A full set is answered once in each comparison that was opened here, and comparisons that follow at once for floors do not fetch the bans again, so no exchange can go on by itself. Looked at elsewhere: floors fold and become equal. A bound that is reached is logged once, counted and named in the view.

--- a/src/control/replication_service.cpp
+++ b/src/control/replication_service.cpp
@@ -153,6 +153,9 @@
     cluster_.send_replica(send->to, send->bytes);
   } else if (const auto* ban = std::get_if<replication::SetBan>(&action)) {
     apply_ban(*ban);
+  } else if (const auto* report = std::get_if<replication::ReportBound>(&action)) {
+    log_.record(kLogModule, log::Level::warning, "bound_reached",
+                {{"bound", to_string(report->bound)}});
   } else {
     apply_purge(std::get<replication::ApplyPurge>(action).floor);
   }
@@ -213,6 +216,12 @@
   json::write_count(writer, "compared", counters.comparisons);
   json::write_count(writer, "same", counters.identical);
   json::write_count(writer, "refused", counters.rejected);
+  json::write_count(writer, "full_bans_sent", counters.full_bans_sent);
+  json::write_count(writer, "bounds_reached", counters.bounds_reached);
+  writer.Key("at_bound");
+  writer.StartArray();
+  for (const auto bound : replica_->reached_bounds()) writer.String(to_string(bound));
+  writer.EndArray();
   writer.EndObject();
 }
 
--- a/src/replication/purge_floors.cpp
+++ b/src/replication/purge_floors.cpp
@@ -55,6 +55,7 @@
 }
 
 void PurgeFloors::fold_older_half() {
+  ++folds_;
   std::vector<Time> times;
   times.reserve(floors_.size());
   for (const auto& [key, at] : floors_) times.push_back(at);
--- a/src/replication/purge_floors.h
+++ b/src/replication/purge_floors.h
@@ -50,6 +50,8 @@
   Time floor_of(bool is_object, std::uint64_t id) const;
   Time global_floor() const { return global_floor_; }
   std::size_t size() const { return floors_.size(); }
+  /// How often the older half was folded into the global floor.
+  std::uint64_t folds() const { return folds_; }
 
   RangeDigests range_digests() const;
   /// Digests of the buckets of one range, `range` modulo kRanges.
@@ -76,6 +78,7 @@
   const std::size_t max_floors_;
   std::map<Key, Time> floors_;
   Time global_floor_ = 0;
+  std::uint64_t folds_ = 0;
   std::array<std::uint64_t, kBuckets> bucket_digests_{};  // sums over the bucket's floors
 };
 
--- a/src/replication/replica.cpp
+++ b/src/replication/replica.cpp
@@ -33,6 +33,20 @@
 
 }  // namespace
 
+const char* to_string(Bound bound) {
+  switch (bound) {
+    case Bound::bans:
+      return "bans";
+    case Bound::authors:
+      return "authors";
+    case Bound::detached_dots:
+      return "detached_dots";
+    case Bound::floors:
+      return "floors";
+  }
+  return "unknown";
+}
+
 Replica::Replica(ReplicaSettings settings, std::uint64_t seed)
     : settings_(std::move(settings)), random_(seed), floors_(settings_.max_floors) {}
 
@@ -44,9 +58,31 @@
   }
   actions_ = &actions;
   std::visit([this](const auto& specific) { on(specific); }, event);
+  report_reached_bounds();
   actions_ = nullptr;
 }
 
+// ---- Bounds
+
+void Replica::report_reached_bounds() {
+  const CausalContext& context = bans_.context();
+  update_bound(Bound::bans, bans_.bans().size() >= kMaxBans);
+  update_bound(Bound::authors, context.contiguous().size() >= kMaxAuthors);
+  update_bound(Bound::detached_dots, context.detached().size() >= kMaxDetachedDots);
+  update_bound(Bound::floors, floors_.folds() != folds_reported_);
+  folds_reported_ = floors_.folds();
+}
+
+void Replica::update_bound(Bound bound, bool is_reached) {
+  if (!is_reached) {
+    reached_bounds_.erase(bound);
+    return;
+  }
+  if (!reached_bounds_.insert(bound).second) return;
+  ++counters_.bounds_reached;
+  actions_->push_back(ReportBound{bound});
+}
+
 // ---- Changes
 
 void Replica::send(const std::string& to, std::string bytes) {
@@ -74,6 +110,11 @@
 void Replica::on(const PeersChanged& event) {
   const bool has_first_peers = peers_.empty() && !event.names.empty();
   peers_ = event.names;
+  const auto is_gone = [this](const std::string& name) {
+    return std::find(peers_.begin(), peers_.end(), name) == peers_.end();
+  };
+  std::erase_if(open_comparisons_, is_gone);
+  std::erase_if(full_bans_sent_at_, [&](const auto& entry) { return is_gone(entry.first); });
   if (has_first_peers && !is_caught_up_) compare_at_ = now_;
 }
 
@@ -123,9 +164,15 @@
 
 void Replica::compare_with(const std::string& peer) {
   ++counters_.comparisons;
+  open_comparisons_.insert(peer);
   send(peer, encode_digests(bans_, floors_));
 }
 
+void Replica::send_full_bans(const std::string& to) {
+  ++counters_.full_bans_sent;
+  send(to, encode_full_bans(bans_));
+}
+
 void Replica::send_differing_ranges(const std::string& to, Time their_global_floor,
                                     const RangeDigests& theirs) {
   const auto ours = floors_.range_digests();
@@ -163,10 +210,12 @@
   if (bans_.digest() != digest_before) gossip_bans(frame.delta, from);
 }
 
+// A full set is answered once in each comparison that was opened here: copies that a bound keeps
+// from becoming equal would answer each other without end.
 void Replica::handle(const std::string& from, const FullBansFrame& frame) {
   join_bans(frame.bans);
   const bool they_lack_something = bans_.digest() != frame.bans.digest();
-  if (they_lack_something) send(from, encode_full_bans(bans_));
+  if (they_lack_something && open_comparisons_.erase(from) > 0) send_full_bans(from);
 }
 
 void Replica::handle(const std::string& from, const FloorUpdatesFrame& frame) {
@@ -186,10 +235,19 @@
     send(from, encode_identical());
     return;
   }
-  if (!has_same_bans) send(from, encode_full_bans(bans_));
+  if (!has_same_bans) answer_with_bans(from);
   send_differing_ranges(from, frame.global_floor, frame.ranges);
 }
 
+// Comparisons that follow each other to fetch floors do not fetch the bans each time.
+void Replica::answer_with_bans(const std::string& to) {
+  const auto [sent_at, is_first] = full_bans_sent_at_.try_emplace(to, now_);
+  const bool is_due = now_ >= sent_at->second + settings_.compare_interval / kCatchUpSpeed;
+  if (!is_first && !is_due) return;
+  sent_at->second = now_;
+  send_full_bans(to);
+}
+
 void Replica::handle(const std::string& /*from*/, const IdenticalFrame& /*frame*/) {
   ++counters_.identical;
   is_caught_up_ = true;
--- a/src/replication/replica.h
+++ b/src/replication/replica.h
@@ -4,7 +4,8 @@
 // Changes are gossiped at once to a few peers, and on from each peer for which they are new. Every
 // `compare_interval` one peer is asked to compare (anti-entropy): digests tell what differs, and
 // only that is sent. So what a partition or a loss kept from a peer arrives with the next
-// comparisons.
+// comparisons. Copies that a bound keeps from becoming equal exchange their bans once a comparison,
+// and full sets go to one peer no more often than comparisons are opened while catching up.
 //
 // A copy is caught up once a peer has found both identical. Where no peer can say so, since there
 // is none, the peers run an earlier version without replication, or changes never stop, it counts
@@ -16,7 +17,9 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <map>
 #include <random>
+#include <set>
 #include <string>
 #include <variant>
 #include <vector>
@@ -83,7 +86,15 @@
 struct ApplyPurge {
   PurgeFloor floor;
 };
-using Action = std::variant<SendFrame, SetBan, ApplyPurge>;
+/// The limits on what a copy holds.
+enum class Bound : std::uint8_t { bans, authors, detached_dots, floors };
+const char* to_string(Bound bound);
+/// A limit was reached that was not reached before. At the limit on floors older ones are folded;
+/// at the others further changes are refused, so that copies may stay different.
+struct ReportBound {
+  Bound bound = Bound::bans;
+};
+using Action = std::variant<SendFrame, SetBan, ApplyPurge, ReportBound>;
 
 struct ReplicaCounters {
   std::uint64_t changes_gossiped = 0;
@@ -92,6 +103,8 @@
   std::uint64_t differing_buckets = 0;
   std::uint64_t floors_received = 0;  // in answers to comparisons
   std::uint64_t rejected = 0;         // frames
+  std::uint64_t full_bans_sent = 0;
+  std::uint64_t bounds_reached = 0;  // how often a limit was reached
 };
 
 class Replica {
@@ -108,6 +121,8 @@
   const BanSet& bans() const { return bans_; }
   const PurgeFloors& floors() const { return floors_; }
   const ReplicaCounters& counters() const { return counters_; }
+  /// The limits that are reached now.
+  const std::set<Bound>& reached_bounds() const { return reached_bounds_; }
 
  private:
   void on(const PeersChanged& event);
@@ -131,6 +146,10 @@
   void gossip(const std::string& bytes, const std::string& except);
   void gossip_bans(const BanSet& delta, const std::string& except);
   void compare_with(const std::string& peer);
+  void send_full_bans(const std::string& to);
+  void answer_with_bans(const std::string& to);
+  void report_reached_bounds();
+  void update_bound(Bound bound, bool is_reached);
   void send_differing_ranges(const std::string& to, Time their_global_floor,
                              const RangeDigests& theirs);
   void join_bans(const BanSet& theirs);
@@ -147,6 +166,11 @@
   PurgeFloors floors_;
   bool is_caught_up_ = false;
   bool has_more_to_receive_ = false;  // the last answer was as large as one may be
+  // Peers that were sent digests and have not been sent a full set in answer to theirs.
+  std::set<std::string> open_comparisons_;
+  std::map<std::string, Time> full_bans_sent_at_;  // in answer to digests, by peer
+  std::set<Bound> reached_bounds_;
+  std::uint64_t folds_reported_ = 0;
   ReplicaCounters counters_;
 };
 
--- a/tests/replication/simulated_replicas.h
+++ b/tests/replication/simulated_replicas.h
@@ -22,6 +22,7 @@
 using alderspur::replication::Author;
 using alderspur::replication::BanRequested;
 using alderspur::replication::BanSet;
+using alderspur::replication::Bound;
 using alderspur::replication::Event;
 using alderspur::replication::FrameReceived;
 using alderspur::replication::LiftRequested;
@@ -31,6 +32,7 @@
 using alderspur::replication::PurgeObserved;
 using alderspur::replication::Replica;
 using alderspur::replication::ReplicaSettings;
+using alderspur::replication::ReportBound;
 using alderspur::replication::SendFrame;
 using alderspur::replication::SetBan;
 using alderspur::replication::Tick;
@@ -51,6 +53,7 @@
   std::unique_ptr<Replica> replica;            // null while it is stopped
   std::set<std::string> banned;                // as its router was notified
   std::map<std::uint64_t, Time> purge_floors;  // of objects, as its router was told
+  std::map<Bound, std::uint64_t> bound_reports;
   std::uint64_t epoch = 0;
 };
 
@@ -59,7 +62,9 @@
   /// True where the frame from the first to the second is lost.
   using LossRule = std::function<bool(const std::string& from, const std::string& to)>;
 
-  Network(std::uint64_t seed, std::size_t size) : random_(seed) {
+  Network(std::uint64_t seed, std::size_t size,
+          std::size_t max_floors = alderspur::replication::kDefaultMaxFloors)
+      : random_(seed), max_floors_(max_floors) {
     for (std::size_t i = 0; i < size; ++i) start_replica(replica_name(i));
     announce_peers();
   }
@@ -149,6 +154,7 @@
     Node& node = nodes_[name];
     ReplicaSettings settings;
     settings.self = {name, ++node.epoch};
+    settings.max_floors = max_floors_;
     node.banned.clear();
     node.purge_floors.clear();
     node.replica = std::make_unique<Replica>(settings, random_());
@@ -174,6 +180,8 @@
       } else {
         node.banned.erase(ban->server);
       }
+    } else if (const auto* report = std::get_if<ReportBound>(&action)) {
+      ++node.bound_reports[report->bound];
     } else {
       const auto& floor = std::get<ApplyPurge>(action).floor;
       node.purge_floors[floor.id] = floor.at;
@@ -181,6 +189,7 @@
   }
 
   std::mt19937_64 random_;
+  const std::size_t max_floors_;
   std::map<std::string, Node> nodes_;
   std::multimap<Time, std::pair<std::string, FrameReceived>> in_flight_;
   LossRule is_lost_ = [](const auto&, const auto&) { return false; };
