A router is notified of a global purge floor that comes from a peer

Callers saw: a router that returned after its peers had folded older purge floors into one over everything took that floor over and went on serving copies from before it, against the rule on purges.

Cause: Replica raised its global floor from digests, bucket_digests and floors frames without an action for its owner; the module had no purge of everything.

Evidence: with the new action taken out, Replica.NotifiesItsRouterOfAGlobalFloorFromAPeer (no action for any of the three frames) and Replica.NotifiesAReturningReplicaOfAllFoldedPurges (purges of before that the router never hears of) fail. The action goes through the engine to the module, which limits the age of every attempt, also of those decided and not written (EngineTest and SendRulesTest). Floors older than the propagation time and 10 s are still not passed on: by the protocol no copy from before them is left, and the module forgets them sooner. Not shown with processes.

--- a/include/alderspur/router.h
+++ b/include/alderspur/router.h
@@ -257,6 +257,8 @@
   std::optional<ObjectId> object;
   GroupId group{};
   Time age = 0;
+  /// Copies of all objects are meant; `object` and `group` are ignored.
+  bool covers_everything = false;
 };
 
 /// The end of a HealthCheck.
--- a/src/control/replication_service.cpp
+++ b/src/control/replication_service.cpp
@@ -62,6 +62,7 @@
   node_.on_ban([this](const hot_restart::BanChange& change) { handle_local_ban(change); });
   node_.set_readiness_condition([this] { return has_started_ && replica_->is_caught_up(); });
   node_.engine().on_purge([this](const core::PurgeNotice& notice) {
+    if (notice.covers_everything) return;  // it came from the replica
     handle(replication::PurgeObserved{
         {notice.object.has_value(), notice.object.value_or(notice.group), notice.unix_time}});
   });
@@ -153,6 +154,8 @@
     cluster_.send_replica(send->to, send->bytes);
   } else if (const auto* ban = std::get_if<replication::SetBan>(&action)) {
     apply_ban(*ban);
+  } else if (const auto* purge = std::get_if<replication::ApplyGlobalPurge>(&action)) {
+    apply_global_purge(purge->at);
   } else if (const auto* report = std::get_if<replication::ReportBound>(&action)) {
     log_.record(kLogModule, log::Level::warning, "bound_reached",
                 {{"bound", to_string(report->bound)}});
@@ -169,14 +172,27 @@
   is_applying_ban_ = false;
 }
 
+bool ReplicationService::may_have_copies_from_before(core::Time purged_at) const {
+  return purged_at >= node_.engine().now() - purge_propagation_time_ - kPurgeAgeMargin;
+}
+
 void ReplicationService::apply_purge(const replication::PurgeFloor& floor) {
-  const core::Time oldest = node_.engine().now() - purge_propagation_time_ - kPurgeAgeMargin;
-  if (floor.at < oldest) return;
+  if (!may_have_copies_from_before(floor.at)) return;
   const auto object = floor.is_object ? std::optional(floor.id) : std::nullopt;
   const auto group = floor.is_object ? 0 : static_cast<std::uint32_t>(floor.id);
   node_.engine().purge({object, group, floor.at});
 }
 
+void ReplicationService::apply_global_purge(core::Time at) {
+  if (!may_have_copies_from_before(at)) return;
+  log_.record(kLogModule, log::Level::info, "purged_everything",
+              {{"from_before_ms", at / kMicrosecondsPerMillisecond}});
+  core::PurgeNotice notice;
+  notice.unix_time = at;
+  notice.covers_everything = true;
+  node_.engine().purge(notice);
+}
+
 void ReplicationService::save() {
   if (path_.empty() || !has_started_ || is_saving_) return;
   const auto digest = replica_->bans().digest();
--- a/src/control/replication_service.h
+++ b/src/control/replication_service.h
@@ -50,6 +50,8 @@
   void perform(const replication::Action& action);
   void apply_ban(const replication::SetBan& ban);
   void apply_purge(const replication::PurgeFloor& floor);
+  void apply_global_purge(core::Time at);
+  bool may_have_copies_from_before(core::Time purged_at) const;
   void schedule_tick();
   void save();
   void write_view(json::Writer& writer) const;
--- a/src/core/engine.h
+++ b/src/core/engine.h
@@ -111,6 +111,8 @@
   std::optional<std::uint64_t> object;
   std::uint32_t group = 0;
   Time unix_time = 0;
+  /// Voids the copies of all objects; `object` and `group` are ignored.
+  bool covers_everything = false;
 };
 
 /// See the top of this file.
--- a/src/core/engine_endpoints.cpp
+++ b/src/core/engine_endpoints.cpp
@@ -11,6 +11,11 @@
 /// Tolerance on the time of a purge.
 constexpr Time kPurgeMargin = 2'000;
 
+bool is_covered(const alderspur::Request& request, const alderspur::Purge& purge) {
+  if (purge.covers_everything) return true;
+  return purge.object ? *purge.object == request.object : purge.group == request.group;
+}
+
 }  // namespace
 
 // ---- Endpoints ----
@@ -55,6 +60,7 @@
   if (notice.object) purge.object = alderspur::ObjectId{*notice.object};
   purge.group = {notice.group};
   purge.age = std::max<Time>(0, now() - notice.unix_time);
+  purge.covers_everything = notice.covers_everything;
   urgent_events_.push_back({purge, 0, 0, {}});
   if (purge_listener_) purge_listener_(notice);
 }
@@ -64,8 +70,7 @@
   const Time age = std::max<Time>(1, purge.age - kPurgeMargin);
   for (auto& [id, attempt] : attempts_) {
     if (attempt.written_at) continue;
-    const alderspur::Request& request = requests_.at(attempt.request).request;
-    if (purge.object ? *purge.object != request.object : purge.group != request.group) continue;
+    if (!is_covered(requests_.at(attempt.request).request, purge)) continue;
     UpstreamRequest& upstream = attempt.upstream_request;
     if (!upstream.fill) upstream.fill = alderspur::Fill{upstream.server};
     alderspur::Fill& fill = *upstream.fill;
--- a/src/policy_state/purge_table.cpp
+++ b/src/policy_state/purge_table.cpp
@@ -5,13 +5,18 @@
 namespace alderspur::policy {
 
 void PurgeTable::record(const Purge& purge, Time now) {
+  const Time purged_at = now - std::max<Time>(0, purge.age);
+  if (purge.covers_everything) {
+    latest_of_everything_ = std::max(latest_of_everything_, purged_at);
+    return;
+  }
   const Key key = purge.object ? Key{true, purge.object->value} : Key{false, purge.group.value};
   Time& latest = latest_[key];
-  latest = std::max(latest, now - std::max<Time>(0, purge.age));
+  latest = std::max(latest, purged_at);
 }
 
 Time PurgeTable::last_purge(const Request& request) const {
-  Time latest = -1;
+  Time latest = latest_of_everything_;
   for (const Key& key : {Key{true, request.object.value}, Key{false, request.group.value}}) {
     if (const auto found = latest_.find(key); found != latest_.end()) {
       latest = std::max(latest, found->second);
@@ -22,6 +27,7 @@
 
 void PurgeTable::forget_before(Time time) {
   std::erase_if(latest_, [time](const auto& entry) { return entry.second < time; });
+  if (latest_of_everything_ < time) latest_of_everything_ = -1;
 }
 
 }  // namespace alderspur::policy
--- a/src/policy_state/purge_table.h
+++ b/src/policy_state/purge_table.h
@@ -9,12 +9,12 @@
 
 namespace alderspur::policy {
 
-/// The latest purge of each object and group. No decisions. Owned by RoutingContext; one thread.
+/// The latest purge of each object and group, and of everything. No decisions. Owned by RoutingContext; one thread.
 class PurgeTable {
  public:
   /// Records a purge that was received at `now`.
   void record(const Purge& purge, Time now);
-  /// When the object of a request, or its group, was last purged; -1: not lately.
+  /// When the object of a request, its group or everything was last purged; -1: not lately.
   Time last_purge(const Request& request) const;
   bool is_purged(const Request& request) const { return last_purge(request) >= 0; }
   /// Forgets the purges from before `time`.
@@ -28,6 +28,7 @@
   };
 
   std::map<Key, Time> latest_;
+  Time latest_of_everything_ = -1;  // -1: not lately
 };
 
 }  // namespace alderspur::policy
--- a/src/replication/replica.cpp
+++ b/src/replication/replica.cpp
@@ -135,6 +135,10 @@
   return true;
 }
 
+void Replica::apply_global_floor(Time at) {
+  if (floors_.raise_global(at)) actions_->push_back(ApplyGlobalPurge{at});
+}
+
 // The router is notified of the outcome only: two bans and one lift that arrive together are one
 // ban.
 void Replica::join_bans(const BanSet& theirs) {
@@ -227,7 +231,7 @@
 }
 
 void Replica::handle(const std::string& from, const DigestsFrame& frame) {
-  floors_.raise_global(frame.global_floor);
+  apply_global_floor(frame.global_floor);
   const bool has_same_bans = frame.bans_digest == bans_.digest();
   const bool has_same_floors =
       floors_.range_digests() == frame.ranges && frame.global_floor == floors_.global_floor();
@@ -254,7 +258,7 @@
 }
 
 void Replica::handle(const std::string& from, const BucketDigestsFrame& frame) {
-  floors_.raise_global(frame.global_floor);
+  apply_global_floor(frame.global_floor);
   BucketDifferences differences;
   for (const auto& [range, digests] : frame.ranges) {
     add_differing_buckets(floors_, range, digests, differences);
@@ -265,7 +269,7 @@
 }
 
 void Replica::handle(const std::string& from, const FloorsFrame& frame) {
-  floors_.raise_global(frame.global_floor);
+  apply_global_floor(frame.global_floor);
   std::vector<PurgeFloor> requested;
   for (const auto bucket : frame.requested_buckets) {
     floors_.append_bucket(bucket, requested, kMaxFloorsPerFrame);
--- a/src/replication/replica.h
+++ b/src/replication/replica.h
@@ -86,6 +86,11 @@
 struct ApplyPurge {
   PurgeFloor floor;
 };
+/// Another router has folded purges into one of everything from before `at`: what they covered is
+/// no longer known.
+struct ApplyGlobalPurge {
+  Time at = 0;
+};
 /// The limits on what a copy holds.
 enum class Bound : std::uint8_t { bans, authors, detached_dots, floors };
 const char* to_string(Bound bound);
@@ -94,7 +99,7 @@
 struct ReportBound {
   Bound bound = Bound::bans;
 };
-using Action = std::variant<SendFrame, SetBan, ApplyPurge, ReportBound>;
+using Action = std::variant<SendFrame, SetBan, ApplyPurge, ApplyGlobalPurge, ReportBound>;
 
 struct ReplicaCounters {
   std::uint64_t changes_gossiped = 0;
@@ -154,6 +159,7 @@
                              const RangeDigests& theirs);
   void join_bans(const BanSet& theirs);
   bool apply_floor(const PurgeFloor& floor);
+  void apply_global_floor(Time at);
 
   const ReplicaSettings settings_;
   std::mt19937_64 random_;
--- a/tests/core/engine_test.cpp
+++ b/tests/core/engine_test.cpp
@@ -162,4 +162,15 @@
   EXPECT_EQ(engine->counters().stale_responses, 1u) << "a copy older than allowed is not forwarded";
 }
 
+// Guards against attempts of other objects that leave without the limit of a purge of everything.
+TEST_F(EngineTest, TightensMaxAgeOfAnyObjectWhenAPurgeOfEverythingComesBeforeWriting) {
+  admit_request();
+  engine->run();
+  engine->purge({{}, 0, time - 50'000, true});
+  engine->run();
+  const auto& fill = *engine->upstream_request(recorder.sent[0])->fill;
+  EXPECT_EQ(fill.max_age, 48'000);
+  EXPECT_FALSE(fill.may_join || fill.refresh_in_background);
+}
+
 }  // namespace
--- a/tests/policy/send_rules_test.cpp
+++ b/tests/policy/send_rules_test.cpp
@@ -127,6 +127,25 @@
   EXPECT_EQ(fixture.sends[fixture.send_request(33)].at(0).fill->max_age, 1);
 }
 
+// Guards against copies from before a purge of everything: a peer has folded older purges into it.
+TEST(SendRulesTest, LimitsAgeOfAllObjectsUntilPurgeOfEverythingHasSettled) {
+  RouterFixture fixture;
+  fixture.handle(Purge{std::nullopt, {}, 100 * kMillisecond, true});
+  for (const std::uint64_t object : {9, 10}) {
+    const auto fill = fixture.sends[fixture.send_request(object, kPageClass)].at(0).fill;
+    ASSERT_TRUE(fill);
+    EXPECT_GE(fill->max_age, 1);
+    EXPECT_LE(fill->max_age, 100 * kMillisecond);
+    EXPECT_FALSE(fill->may_join);
+  }
+  fixture.handle(Purge{ObjectId{9}, {5}, 50 * kMillisecond});
+  fixture.handle(Purge{std::nullopt, {}, 500 * kMillisecond, true});  // an earlier one
+  const auto fill = fixture.sends[fixture.send_request(9, kPartClass)].at(0).fill;
+  EXPECT_LE(fill->max_age, 50 * kMillisecond) << "the latest purge counts";
+  fixture.advance(40 * kSecond);
+  EXPECT_TRUE(fixture.sends[fixture.send_request(9, kPartClass)].at(0).fill->may_join);
+}
+
 TEST(SendRulesTest, AppliesPurgeToRetryWhenRequestCameBeforeIt) {
   RouterFixture fixture;
   const auto id = fixture.send_request(9);
--- a/tests/replication/replica_test.cpp
+++ b/tests/replication/replica_test.cpp
@@ -16,6 +16,9 @@
 
 using alderspur::replication::BansLoaded;
 using alderspur::replication::Dot;
+using alderspur::replication::encode_bucket_digests;
+using alderspur::replication::encode_digests;
+using alderspur::replication::encode_floors;
 using alderspur::replication::encode_full_bans;
 using alderspur::replication::FrameKind;
 using alderspur::replication::kMaxAuthors;
@@ -24,6 +27,7 @@
 using alderspur::replication::kMaxRangesPerFrame;
 using alderspur::replication::kRanges;
 using simulation::Action;
+using simulation::ApplyGlobalPurge;
 using simulation::author;
 using simulation::BanRequested;
 using simulation::BanSet;
@@ -34,6 +38,7 @@
 using simulation::LiftRequested;
 using simulation::Network;
 using simulation::PeersChanged;
+using simulation::PurgeFloors;
 using simulation::PurgeObserved;
 using simulation::Replica;
 using simulation::replica_name;
@@ -422,6 +427,58 @@
   }
 }
 
+// Guards against a router that goes on serving copies from before a purge of everything.
+TEST(Replica, NotifiesItsRouterOfAGlobalFloorFromAPeer) {
+  PurgeFloors folded;
+  folded.raise_global(5 * kSecond);
+  for (const auto& frame :
+       {encode_floors(folded.global_floor(), {}, {}), encode_digests({}, folded),
+        encode_bucket_digests(folded.global_floor(), {})}) {
+    Replica replica({.self = author(0)}, 1);
+    std::vector<Action> actions;
+    replica.handle(kSecond, FrameReceived{"r1", frame}, actions);
+    EXPECT_EQ(replica.floors().global_floor(), 5 * kSecond);
+    EXPECT_EQ(std::count_if(actions.begin(), actions.end(),
+                            [](const Action& action) {
+                              const auto* purge = std::get_if<ApplyGlobalPurge>(&action);
+                              return purge != nullptr && purge->at == 5 * kSecond;
+                            }),
+              1);
+    replica.handle(kSecond, FrameReceived{"r1", frame}, actions);
+    EXPECT_EQ(std::count_if(actions.begin(), actions.end(),
+                            [](const Action& action) {
+                              return std::holds_alternative<ApplyGlobalPurge>(action);
+                            }),
+              1)
+        << "once";
+  }
+}
+
+// Guards against the same for a router that was away while its peers folded their floors.
+TEST(Replica, NotifiesAReturningReplicaOfAllFoldedPurges) {
+  constexpr std::size_t kFloorsHeld = 16;
+  for (std::uint64_t seed = 1; seed <= 20 * exploration_factor(); ++seed) {
+    Network network(seed, 3, kFloorsHeld);
+    network.run(2 * kSecond);
+    network.stop("r2");
+    std::map<std::uint64_t, Time> purged_at;
+    for (std::uint64_t object = 0; object <= kFloorsHeld; ++object) {
+      network.run(2'000);
+      purged_at[object] = network.now();
+      network.purge(replica_name(network.draw(2)), object);
+    }
+    network.run(2 * kSecond);
+    network.restart("r2");
+    ASSERT_TRUE(network.run_until([&] { return network.all_equal(); }, 5 * kSecond)) << seed;
+    ASSERT_GT(network.replica("r2").floors().global_floor(), 0) << "floors were folded";
+    auto& node = network.node("r2");
+    for (const auto& [object, at] : purged_at) {
+      ASSERT_GE(std::max(node.global_floor, node.purge_floors[object]), at)
+          << "seed " << seed << ", object " << object;
+    }
+  }
+}
+
 // Loses frames, partitions, stops and starts replicas and makes changes, all drawn.
 class RandomSchedule {
  public:
--- a/tests/replication/simulated_replicas.h
+++ b/tests/replication/simulated_replicas.h
@@ -18,6 +18,7 @@
 namespace simulation {
 
 using alderspur::replication::Action;
+using alderspur::replication::ApplyGlobalPurge;
 using alderspur::replication::ApplyPurge;
 using alderspur::replication::Author;
 using alderspur::replication::BanRequested;
@@ -53,6 +54,7 @@
   std::unique_ptr<Replica> replica;            // null while it is stopped
   std::set<std::string> banned;                // as its router was notified
   std::map<std::uint64_t, Time> purge_floors;  // of objects, as its router was told
+  Time global_floor = 0;                       // of everything, as its router was told
   std::map<Bound, std::uint64_t> bound_reports;
   std::uint64_t epoch = 0;
 };
@@ -157,6 +159,7 @@
     settings.max_floors = max_floors_;
     node.banned.clear();
     node.purge_floors.clear();
+    node.global_floor = 0;
     node.replica = std::make_unique<Replica>(settings, random_());
   }
   void announce_peers() {
@@ -180,6 +183,8 @@
       } else {
         node.banned.erase(ban->server);
       }
+    } else if (const auto* purge = std::get_if<ApplyGlobalPurge>(&action)) {
+      node.global_floor = std::max(node.global_floor, purge->at);
     } else if (const auto* report = std::get_if<ReportBound>(&action)) {
       ++node.bound_reports[report->bound];
     } else {
