One function begins a leader's term, for requests as for its own work

Callers saw: nothing. By reading, a lease request between a voter's election and its first lead() would have begun the term of the leases alone, and kept admissions, the time of a rollout, the last proposal and the news of the earlier term.

Leading begins with a Raft frame or a write only, and lead() follows in the same event.

Why mend it all the same: the order is no promise of the interface. Leader::leads() now begins a new term whole, whoever asks first.

--- a/src/consensus/leader.cpp
+++ b/src/consensus/leader.cpp
@@ -29,15 +29,27 @@
 
 }  // namespace
 
-void Leader::redirect(const std::string& to) { context_.send(to, Redirect{voter_.known_leader()}); }
-
-// ---- Leases
+bool Leader::leads() {
+  if (!voter_.is_leader(context_.now())) return false;
+  begin_term_if_new();
+  return true;
+}
 
-void Leader::begin_term_of_leases() {
+void Leader::begin_term_if_new() {
   const std::uint64_t term = voter_.raft()->term();
-  if (lease_table_.term() != term) lease_table_.begin_term(context_.now(), term);
+  if (lease_table_.term() == term) return;
+  lease_table_.begin_term(context_.now(), term);
+  membership_.begin_term();
+  version_rollout_.begin_term();
+  proposed_id_ = 0;
+  announced_ = {};
+  context_.log("leads", "term " + std::to_string(term));
 }
 
+void Leader::redirect(const std::string& to) { context_.send(to, Redirect{voter_.known_leader()}); }
+
+// ---- Leases
+
 LeaseGrant Leader::make_grant(const std::string& router, const LeaseRequest& request) const {
   const AppliedState& state = voter_.applied_state();
   LeaseGrant grant;
@@ -60,7 +72,6 @@
 void Leader::on_lease_request(const std::string& from, const LeaseRequest& request,
                               const std::vector<std::string>& voters) {
   if (!leads()) return redirect(from);
-  begin_term_of_leases();
   LeaseGrant grant = make_grant(from, request);
   grant.voters = voters;
   lease_table_.renew(context_.now(), from, request, grant);
@@ -141,14 +152,6 @@
 bool Leader::lead(const std::vector<std::string>& voters) {
   if (!leads()) return false;
   Raft& raft = *voter_.raft();
-  if (lease_table_.term() != raft.term()) {
-    begin_term_of_leases();
-    membership_.begin_term();
-    version_rollout_.begin_term();
-    proposed_id_ = 0;
-    announced_ = {};
-    context_.log("leads", "term " + std::to_string(raft.term()));
-  }
   const Time now = context_.now();
   lease_table_.remove_expired(now);
   const auto command =
--- a/src/consensus/leader.h
+++ b/src/consensus/leader.h
@@ -43,9 +43,10 @@
     bool operator==(const Progress&) const = default;
   };
 
-  bool leads() const { return voter_.is_leader(context_.now()); }
+  /// Whether this router leads. What was kept of an earlier term is forgotten first.
+  bool leads();
   void redirect(const std::string& to);
-  void begin_term_of_leases();
+  void begin_term_if_new();
   LeaseGrant make_grant(const std::string& router, const LeaseRequest& request) const;
   std::string voter_without_canaries() const;
   bool knows_canaries(const std::string& voter) const;
