A save that keeps failing is logged once, for the shared directory and the replica's file

Callers saw: operators read a line of log every 150 ms while the shared directory took no bans, and one with each event of the replica while its disk took none.

Confirmed, it was suspected by reading only. Cause: HotRestartCoordinator kept one last problem for polls and saves, so that a poll that works made the next failing save look new; ReplicationService kept none.

A change made while a write is under way waited for the next event, a second at most: confirmed by reading, no test; it is written when the write ends.

--- a/src/control/replication_service.cpp
+++ b/src/control/replication_service.cpp
@@ -216,17 +216,24 @@
   if (digest == saved_digest_) return;
   is_saving_ = writer_.submit([this, path = path_, digest, payload = replica_->bans().encode()] {
     const auto error = store::replace_file(path, payload);
-    wakeup_.post([this, digest, error] {
-      is_saving_ = false;
-      if (!error) {
-        saved_digest_ = digest;
-        return;
-      }
-      log_.record(kLogModule, log::Level::error, "not_written", {{"reason", to_string(*error)}});
-    });
+    wakeup_.post([this, digest, error] { finish_save(digest, error); });
   });
 }
 
+void ReplicationService::finish_save(std::uint64_t digest,
+                                     const std::optional<store::FileError>& error) {
+  is_saving_ = false;
+  const bool was_failing = std::exchange(is_save_failing_, error.has_value());
+  if (error) {
+    if (was_failing) return;
+    log_.record(kLogModule, log::Level::error, "not_written", {{"reason", to_string(*error)}});
+    return;
+  }
+  if (was_failing) log_.record(kLogModule, log::Level::info, "written");
+  saved_digest_ = digest;
+  save();  // what has changed meanwhile
+}
+
 void ReplicationService::write_view(json::Writer& writer) const {
   const auto& counters = replica_->counters();
   writer.Key("replica");
--- a/src/control/replication_service.h
+++ b/src/control/replication_service.h
@@ -20,6 +20,7 @@
 #include "file_watch/worker.h"
 #include "net/wakeup.h"
 #include "replication/replica.h"
+#include "store/state_file.h"
 
 namespace alderspur::control {
 
@@ -57,6 +58,7 @@
   bool may_have_copies_from_before(core::Time purged_at) const;
   void schedule_tick();
   void save();
+  void finish_save(std::uint64_t digest, const std::optional<store::FileError>& error);
   void write_view(json::Writer& writer) const;
 
   edge_router::EdgeRouter& node_;
@@ -71,6 +73,7 @@
   bool has_started_ = false;
   bool is_applying_ban_ = false;  // the router's own notice of that ban is then no manual change
   bool is_saving_ = false;
+  bool is_save_failing_ = false;    // the last write has failed, which was logged
   std::uint64_t saved_digest_ = 0;  // of the bans that the file holds
   std::optional<core::Deadlines::Key> tick_timer_;
   net::Wakeup wakeup_;
--- a/src/hot_restart/coordinator.cpp
+++ b/src/hot_restart/coordinator.cpp
@@ -76,7 +76,8 @@
     handle(future.get());
   } else {
     status_.share = 1;
-    log_problem("the shared folder does not answer, starting without what it holds");
+    log_if_new("the shared folder does not answer, starting without what it holds",
+               last_poll_problem_);
   }
   schedule_poll();
 }
@@ -152,7 +153,7 @@
 
 void HotRestartCoordinator::handle(const PollResult& result) {
   const auto& problem = result.error ? result.error : result.bans.error;
-  log_problem(problem ? to_string(*problem) : std::string());
+  log_if_new(problem ? to_string(*problem) : std::string(), last_poll_problem_);
   bans_.on_list_read(result.bans.list);
   report_ban_changes();
   const bool count_changed = result.peers.count != peers_.count;
@@ -170,10 +171,10 @@
 }
 
 // The same problem is logged only once in a row; an empty text means that there is none.
-void HotRestartCoordinator::log_problem(const std::string& text) {
-  if (text == last_problem_) return;
-  last_problem_ = text;
-  if (!text.empty()) log_("shared_folder", text);
+void HotRestartCoordinator::log_if_new(const std::string& problem, std::string& last_problem) {
+  if (problem == last_problem) return;
+  last_problem = problem;
+  if (!problem.empty()) log_("shared_folder", problem);
 }
 
 void HotRestartCoordinator::report_ban_changes() {
@@ -214,10 +215,10 @@
 void HotRestartCoordinator::finish_save(const BanChangeResult& result, const SaveCallback& done) {
   if (result.error) {
     bans_.on_save_failed();
-    log_problem(to_string(*result.error));
   } else {
     bans_.on_saved(result.list);
   }
+  log_if_new(result.error ? to_string(*result.error) : std::string(), last_save_problem_);
   report_ban_changes();
   if (done) done(result.error);
 }
--- a/src/hot_restart/coordinator.h
+++ b/src/hot_restart/coordinator.h
@@ -107,7 +107,7 @@
   void handle(const PollResult& result);
   double wanted_share() const;
   void measure_load();
-  void log_problem(const std::string& text);
+  void log_if_new(const std::string& problem, std::string& last_problem);
   void report_ban_changes();
   void save(const BanChange& change, const SaveCallback& done);
   void finish_save(const BanChangeResult& result, const SaveCallback& done);
@@ -125,7 +125,8 @@
   core::Time measured_at_ = 0;
   bool is_published_ = true;
   bool is_polling_ = false;
-  std::string last_problem_;
+  std::string last_poll_problem_;  // empty: the last poll had none
+  std::string last_save_problem_;  // the same for saves
   core::Deadlines::Key next_poll_{};
   std::unique_ptr<net::Wakeup> wakeup_;
   // Last, so that it ends first: its jobs use the members above.
--- a/tests/hot_restart/coordinator_test.cpp
+++ b/tests/hot_restart/coordinator_test.cpp
@@ -92,6 +92,24 @@
   EXPECT_EQ(std::count(logged_kinds.begin(), logged_kinds.end(), "shared_folder"), 1);
 }
 
+// Guards against polls that work and make the same failing save look new at each try.
+TEST_F(HotRestartCoordinatorTest, LogsASaveThatKeepsFailingOnceBesidePollsThatWork) {
+  std::filesystem::create_directory(path_of(".lock"));  // cannot be locked as a file
+  const auto coordinator = start(directory);
+  bool is_finished = false;
+  coordinator->change_ban({"s-1", true}, [&](const auto&) { is_finished = true; });
+  ASSERT_TRUE(run_until([&] { return is_finished; }));
+  for (int i = 0; i < 5; ++i) {
+    coordinator->start_draining();  // polls, and tries to save once more
+    run_until([end = net::unix_now() + 50'000] { return net::unix_now() >= end; });
+  }
+  EXPECT_EQ(std::count(logged_kinds.begin(), logged_kinds.end(), "shared_folder"), 1);
+  EXPECT_FALSE(coordinator->is_saved("s-1"));
+  std::filesystem::remove(path_of(".lock"));
+  coordinator->start_draining();
+  EXPECT_TRUE(run_until([&] { return coordinator->is_saved("s-1"); }));
+}
+
 // The coordinator's first callback comes while the router is still under construction. Guards
 // against use of members that are not initialized yet: the outcome would depend on what the memory
 // held before.
--- a/tests/replication/replicated_test.cpp
+++ b/tests/replication/replicated_test.cpp
@@ -236,4 +236,24 @@
   EXPECT_NE(request_change(0, "online").find("may serve"), std::string::npos);
 }
 
+// Guards against a line of log with every event while a disk takes no bans.
+TEST_F(ReplicatedProcesses, LogsADiskThatTakesNoBansOnce) {
+  ASSERT_NO_FATAL_FAILURE(begin(2));
+  cluster->lie(0, fleet::kDiskFull);
+  request_change(0, "offline");
+  ASSERT_TRUE(cluster->until([&] { return banned_at({1}, true); }, 15 * kSecond));
+  cluster->run(4 * kSecond);
+  const auto log = cluster->log(0);
+  const auto first = log.find("event=not_written");
+  ASSERT_NE(first, std::string::npos);
+  EXPECT_EQ(log.find("event=not_written", first + 1), std::string::npos) << log;
+  cluster->lie(0, kNoFault);
+  EXPECT_TRUE(cluster->until(
+      [&] {
+        return stored_bans(0).find("s-2") != std::string::npos &&
+               cluster->log(0).find("event=written") != std::string::npos;
+      },
+      15 * kSecond));
+}
+
 }  // namespace
