An event of discovery is read whole or not at all

Callers saw: a complete list whose elements were no servers put every server out of use, so that all requests were refused until the next complete list; a purge that named neither object nor group voided the copies of group 0.

Cause: read_watch_event() rejected a list that is no array, and read its elements and a purge with defaults for what was missing. Found by reading every place where a message is checked in parts.

Evidence: DiscoveryClientTest.ChangesNothingWhenAPartOfAnEventIsMalformed fails on: the nine events do not count as invalid. Now each makes the event invalid; its number does not count as applied, so that discovery is asked again.

--- a/src/config/watch_event.cpp
+++ b/src/config/watch_event.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <string>
+#include <utility>
 
 namespace alderspur::config {
 namespace {
@@ -41,10 +42,28 @@
   return result;
 }
 
-Purge read_purge(const JsonValue& value) {
+// Nothing where an element cannot be told apart from others: an element that is no server would
+// count as one that has gone, and a list of such elements would empty the active one.
+std::optional<std::vector<Member>> read_members(const JsonValue& list, const Names& names) {
+  if (!list.IsArray()) return std::nullopt;
+  std::vector<Member> members;
+  for (std::size_t i = 0; i < element_count(list); ++i) {
+    members.push_back(read_member(element(list, i), names));
+    if (members.back().name.empty()) return std::nullopt;
+  }
+  return members;
+}
+
+// Nothing where no object or group is named, or no time: it would purge group 0, or nothing.
+std::optional<Purge> read_purge(const JsonValue& value) {
+  const JsonValue& object = member(value, "asset");
+  const JsonValue& group = member(value, "collection");
+  if (!member(value, "ms").IsNumber()) return std::nullopt;
+  if (object.IsNull() && !group.IsNumber()) return std::nullopt;
   Purge purge;
-  purge.object = parse_hex(to_text(member(value, "asset")));
-  purge.group = to_count(member(value, "collection"));
+  purge.object = parse_hex(to_text(object));
+  if (!object.IsNull() && !purge.object) return std::nullopt;
+  purge.group = to_count(group);
   purge.at = milliseconds_to_time(member(value, "ms"));
   return purge;
 }
@@ -64,18 +83,16 @@
   if (!number.IsUint64()) return std::nullopt;
   WatchEvent event;
   event.number = number.GetUint64();
-  if (const JsonValue& list = member(value, "pool"); list.IsObject()) {
+  if (const JsonValue& list = member(value, "pool"); !list.IsNull()) {
+    auto members = read_members(member(list, "members"), names);
+    if (!members) return std::nullopt;
     event.has_endpoints = true;
     event.is_complete = to_flag(member(list, "complete"));
-    const JsonValue& members = member(list, "members");
-    // A complete list without an array of servers is invalid: it would empty the active one.
-    if (!members.IsArray()) return std::nullopt;
-    for (std::size_t i = 0; i < element_count(members); ++i) {
-      event.members.push_back(read_member(element(members, i), names));
-    }
+    event.members = std::move(*members);
   }
-  if (const JsonValue& purge = member(value, "flush"); purge.IsObject()) {
+  if (const JsonValue& purge = member(value, "flush"); !purge.IsNull()) {
     event.purge = read_purge(purge);
+    if (!event.purge) return std::nullopt;
   }
   return event;
 }
--- a/tests/discovery/discovery_client_test.cpp
+++ b/tests/discovery/discovery_client_test.cpp
@@ -109,4 +109,31 @@
   EXPECT_EQ(engine->counters().rejected + engine->counters().failed, 0u);
 }
 
+// Guards against a complete list of elements that are no servers, which emptied the active list, and
+// against a purge that names nothing, which voided the copies of group 0.
+TEST_F(DiscoveryClientTest, ChangesNothingWhenAPartOfAnEventIsMalformed) {
+  auto watch = accept_watch();
+  const auto unknown_parts = {R"("pool":{"complete":true,"members":[7,"s-a"]})",
+                              R"("pool":{"complete":true,"members":[{}]})",
+                              R"("pool":{"complete":true,"members":[{"id":7}]})",
+                              R"("pool":[])",
+                              R"("flush":{"ms":1764576000123})",
+                              R"("flush":{"asset":7,"collection":17,"ms":1764576000123})",
+                              R"("flush":{"asset":"no hex","ms":1764576000123})",
+                              R"("flush":{"collection":17})",
+                              R"("flush":17)"};
+  for (const auto* part : unknown_parts) {
+    watch->write("{\"rev\":2," + std::string(part) + "}\n");
+  }
+  ASSERT_TRUE(
+      run_until([&] { return engine->counters().invalid_responses == unknown_parts.size(); }));
+  EXPECT_EQ(engine->counters().purges, 0U);
+  auto client = connect_client(client_front->address());
+  client->write(encode_request(1, "asset", {}));
+  ASSERT_TRUE(run_until([&] { return fetch_count() == 1; })) << "the caches are still listed";
+  watch->write("{\"rev\":2,\"flush\":{\"collection\":17,\"ms\":1764576000123}}\n");
+  EXPECT_TRUE(run_until([&] { return engine->counters().purges == 1; }))
+      << "the number of a malformed event is not taken for applied";
+}
+
 }  // namespace
