The xDS server rejects requests with members of another type

Callers saw: a proxy that sent resource_names in another form than a list of strings got all endpoints with status 200, as if it had asked for everything, and its mistake stayed unnoticed; the same with version_info and type_url.

Cause: a member of another type counted as absent.

Evidence: XdsServerTest.RejectsRequestsWithMalformedMembers on: 200 for all five requests, not 400. What is absent stays allowed.

--- a/src/xds/eds.cpp
+++ b/src/xds/eds.cpp
@@ -26,13 +26,25 @@
   return {document[name].GetString(), document[name].GetStringLength()};
 }
 
+/// Whether each member that is read is of its type, or absent.
+bool is_well_formed(const rapidjson::Document& document) {
+  for (const char* name : {"type_url", "version_info"}) {
+    if (document.HasMember(name) && !document[name].IsString()) return false;
+  }
+  if (!document.HasMember("resource_names")) return true;
+  const auto& names = document["resource_names"];
+  return names.IsArray() && std::all_of(names.Begin(), names.End(), [](const auto& name) {
+           return name.IsString();
+         });
+}
+
 /// A request without names asks for all resources.
 bool asks_for_cluster(const rapidjson::Document& document, const std::string& cluster_name) {
-  if (!document.HasMember("resource_names") || !document["resource_names"].IsArray()) return true;
+  if (!document.HasMember("resource_names")) return true;
   const auto& names = document["resource_names"];
   if (names.Empty()) return true;
   return std::any_of(names.Begin(), names.End(), [&](const rapidjson::Value& name) {
-    return name.IsString() && cluster_name == name.GetString();
+    return cluster_name == name.GetString();
   });
 }
 
@@ -123,6 +135,7 @@
   rapidjson::Document document;
   document.Parse<rapidjson::kParseIterativeFlag>(request.data(), request.size());
   if (document.HasParseError() || !document.IsObject()) return {400, {}};
+  if (!is_well_formed(document)) return {400, {}};
   const auto type = text_member(document, "type_url");
   if (!type.empty() && type != kResourceType) return {400, {}};
 
--- a/tests/xds_test.cpp
+++ b/tests/xds_test.cpp
@@ -99,6 +99,18 @@
   EXPECT_EQ(health(caches[1].address()), "DRAINING");
 }
 
+// Guards against a malformed list of names that counts as an empty one, which asks for everything.
+TEST_F(XdsServerTest, RejectsRequestsWithMalformedMembers) {
+  for (const char* request :
+       {R"({"resource_names":7})", R"({"resource_names":{"edge-boxes":1}})",
+        R"({"resource_names":["edge-boxes",7]})", R"({"version_info":1})", R"({"type_url":[]})"}) {
+    proxy->write(post(request));
+    EXPECT_EQ(next_status(), 400) << request;
+  }
+  proxy->write(post("{}"));
+  EXPECT_EQ(next_status(), 200) << "what is absent is no mistake";
+}
+
 TEST_F(XdsServerTest, RespondsWithStatusWhenRequestIsInvalid) {
   proxy->write(post(R"({"resource_names":["other"]})") + post("{}", "/v3/discovery:clusters") +
                post("not json"));
