Times too far ahead of this router's clock are rejected whole, with the frame they came in

Callers saw: a purge floor of 2^61 microseconds in a frame of any peer was taken and spread; a floor is never taken back, so that object, or with a global floor everything, was never served from a cache again.

Cause: times were bounded by what fits a field; the replica had no clock.

Now the replica is told the Unix time with each event; what is more than 60 s ahead in a frame, the stored file or a purge of its own is rejected, counted, logged with the peer's name and not passed on.

--- a/src/control/replication_service.cpp
+++ b/src/control/replication_service.cpp
@@ -146,6 +146,7 @@
 
 void ReplicationService::handle(const replication::Event& event) {
   std::vector<replication::Action> actions;
+  replica_->handle(net::steady_now(), replication::ClockRead{net::unix_now()}, actions);
   replica_->handle(net::steady_now(), event, actions);
   for (const auto& action : actions) perform(action);
   // A purge changes no ban, and there may be many: the digest is not computed for each.
@@ -173,6 +174,10 @@
   } else if (const auto* refused = std::get_if<replication::ReportRefusedBan>(&action)) {
     unreplicated_bans_.insert(refused->server);
     log_.record(kLogModule, log::Level::error, "ban_not_replicated", {{"server", refused->server}});
+  } else if (const auto* skew = std::get_if<replication::ReportClockSkew>(&action)) {
+    log_.record(kLogModule, log::Level::warning, "time_too_far_ahead",
+                {{"from", skew->from.empty() ? "this router" : skew->from},
+                 {"ahead_ms", skew->ahead / kMicrosecondsPerMillisecond}});
   } else if (const auto* report = std::get_if<replication::ReportBound>(&action)) {
     log_.record(kLogModule, log::Level::warning, "bound_reached",
                 {{"bound", to_string(report->bound)}});
@@ -256,6 +261,7 @@
   json::write_count(writer, "compared", counters.comparisons);
   json::write_count(writer, "same", counters.identical);
   json::write_count(writer, "refused", counters.rejected);
+  json::write_count(writer, "clock_skews", counters.clock_skews);
   json::write_count(writer, "full_bans_sent", counters.full_bans_sent);
   json::write_count(writer, "bans_refused", counters.bans_refused);
   json::write_count(writer, "bounds_reached", counters.bounds_reached);
--- a/src/replication/ban_set.cpp
+++ b/src/replication/ban_set.cpp
@@ -136,6 +136,12 @@
   return servers;
 }
 
+Time BanSet::latest_time() const {
+  Time latest = 0;
+  for (const auto& [dot, ban] : bans_) latest = std::max(latest, ban.at);
+  return latest;
+}
+
 std::uint64_t BanSet::digest() const {
   std::uint64_t sum = 0;
   for (const auto& [dot, ban] : bans_) sum += hash_dot(dot.author, dot.sequence) * kBanWeight;
--- a/src/replication/ban_set.h
+++ b/src/replication/ban_set.h
@@ -51,6 +51,8 @@
   bool is_banned(std::string_view server) const { return bans_by_server_.contains(server); }
   /// Sorted, each server once.
   std::vector<std::string> banned_servers() const;
+  /// The latest time of a ban; 0: there is none.
+  Time latest_time() const;
   const std::map<Dot, Ban>& bans() const { return bans_; }
   const CausalContext& context() const { return context_; }
   bool empty() const { return bans_.empty() && context_.empty(); }
--- a/src/replication/frame_codec.cpp
+++ b/src/replication/frame_codec.cpp
@@ -1,5 +1,6 @@
 #include "replication/frame_codec.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "msgpack_codec/reader.h"
@@ -117,6 +118,22 @@
   return IdenticalFrame{};
 }
 
+Time latest_floor(const std::vector<PurgeFloor>& floors) {
+  Time latest = 0;
+  for (const auto& floor : floors) latest = std::max(latest, floor.at);
+  return latest;
+}
+
+Time latest_in(const BanDeltaFrame& frame) { return frame.delta.latest_time(); }
+Time latest_in(const FullBansFrame& frame) { return frame.bans.latest_time(); }
+Time latest_in(const FloorUpdatesFrame& frame) { return latest_floor(frame.floors); }
+Time latest_in(const DigestsFrame& frame) { return frame.global_floor; }
+Time latest_in(const IdenticalFrame& /*frame*/) { return 0; }
+Time latest_in(const BucketDigestsFrame& frame) { return frame.global_floor; }
+Time latest_in(const FloorsFrame& frame) {
+  return std::max(frame.global_floor, latest_floor(frame.floors));
+}
+
 std::string encode_bans(FrameKind kind, const BanSet& bans) {
   Writer writer;
   write_header(writer, kind, 1);
@@ -181,4 +198,8 @@
   return msgpack_codec::decode_array(bytes, 1, read_frame);
 }
 
+Time latest_time(const Frame& frame) {
+  return std::visit([](const auto& specific) { return latest_in(specific); }, frame);
+}
+
 }  // namespace alderspur::replication
--- a/src/replication/frame_codec.h
+++ b/src/replication/frame_codec.h
@@ -78,5 +78,7 @@
 /// Empty where the bytes are no frame of a known kind, or any part of it has another form or
 /// exceeds a bound.
 std::optional<Frame> decode_frame(std::string_view bytes);
+/// The latest time in the frame; 0: it has none.
+Time latest_time(const Frame& frame);
 
 }  // namespace alderspur::replication
--- a/src/replication/replica.cpp
+++ b/src/replication/replica.cpp
@@ -62,6 +62,24 @@
   actions_ = nullptr;
 }
 
+// ---- Clock skew
+
+void Replica::on(const ClockRead& event) { unix_offset_ = event.unix_now - now_; }
+
+// False: the time is too far ahead, which is reported.
+bool Replica::accept_time(Time time, const std::string& from) {
+  if (!unix_offset_) return true;
+  const Time ahead = time - (now_ + *unix_offset_);
+  if (ahead <= settings_.max_clock_skew) return true;
+  ++counters_.clock_skews;
+  actions_->push_back(ReportClockSkew{from, ahead});
+  return false;
+}
+
+void Replica::on(const BansLoaded& event) {
+  if (accept_time(event.bans.latest_time(), {})) bans_.join(event.bans);
+}
+
 // ---- Bounds
 
 void Replica::report_reached_bounds() {
@@ -129,6 +147,7 @@
 void Replica::on(const LiftRequested& event) { gossip_bans(bans_.lift(event.server), {}); }
 
 void Replica::on(const PurgeObserved& event) {
+  if (!accept_time(event.floor.at, {})) return;
   if (floors_.raise(event.floor)) gossip(encode_floor_updates({event.floor}), {});
 }
 
@@ -204,7 +223,7 @@
 // The whole frame is decoded before any of it takes effect: one that is rejected changes nothing.
 void Replica::on(const FrameReceived& event) {
   const auto frame = decode_frame(event.bytes);
-  if (!frame) {
+  if (!frame || !accept_time(latest_time(*frame), event.from)) {
     ++counters_.rejected;
     return;
   }
--- a/src/replication/replica.h
+++ b/src/replication/replica.h
@@ -11,6 +11,10 @@
 // is none, the peers run an earlier version without replication, or changes never stop, it counts
 // as caught up after `catch_up_timeout`, unless a large difference is still being transferred.
 //
+// Clock skew: a frame or a stored set with a time that is further ahead of this router's clock than
+// `max_clock_skew` is rejected whole and not passed on: a floor is never taken back, so one from
+// the far future would void the copies of an object, or all copies, until then.
+//
 // Bounds: see frame_codec.h. A frame that cannot be decoded, or exceeds a bound, is dropped and
 // counted, and changes nothing.
 #pragma once
@@ -18,6 +22,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -37,6 +42,7 @@
   Time catch_up_timeout = 3'000'000;
   std::size_t fanout = 3;  // peers that a change is sent to
   std::size_t max_floors = kDefaultMaxFloors;
+  Time max_clock_skew = 60'000'000;
 };
 
 // ---- Events
@@ -49,6 +55,10 @@
   std::string from;
   std::string bytes;
 };
+/// The Unix time, in microseconds, at this moment. Until the first one, times are not judged.
+struct ClockRead {
+  Time unix_now = 0;
+};
 /// What an earlier process of this router stored; before any other event.
 struct BansLoaded {
   BanSet bans;
@@ -68,8 +78,8 @@
   PurgeFloor floor;
 };
 struct Tick {};
-using Event = std::variant<PeersChanged, FrameReceived, BansLoaded, BanRequested, LiftRequested,
-                           PurgeObserved, Tick>;
+using Event = std::variant<PeersChanged, ClockRead, FrameReceived, BansLoaded, BanRequested,
+                           LiftRequested, PurgeObserved, Tick>;
 
 // ---- Actions
 
@@ -95,6 +105,12 @@
 struct ReportRefusedBan {
   std::string server;
 };
+/// What came from that peer was rejected for a time that is too far ahead. Empty: it was this
+/// router's own, stored bans or a purge.
+struct ReportClockSkew {
+  std::string from;
+  Time ahead = 0;  // of this router's clock
+};
 /// The limits on what a copy holds.
 enum class Bound : std::uint8_t { bans, authors, detached_dots, floors };
 const char* to_string(Bound bound);
@@ -103,8 +119,8 @@
 struct ReportBound {
   Bound bound = Bound::bans;
 };
-using Action =
-    std::variant<SendFrame, SetBan, ApplyPurge, ApplyGlobalPurge, ReportRefusedBan, ReportBound>;
+using Action = std::variant<SendFrame, SetBan, ApplyPurge, ApplyGlobalPurge, ReportRefusedBan,
+                            ReportClockSkew, ReportBound>;
 
 struct ReplicaCounters {
   std::uint64_t changes_gossiped = 0;
@@ -113,6 +129,7 @@
   std::uint64_t differing_buckets = 0;
   std::uint64_t floors_received = 0;  // in answers to comparisons
   std::uint64_t rejected = 0;         // frames
+  std::uint64_t clock_skews = 0;      // frames and own events with a time too far ahead
   std::uint64_t full_bans_sent = 0;
   std::uint64_t bounds_reached = 0;  // how often a limit was reached
   std::uint64_t bans_refused = 0;    // requested here and not replicated
@@ -140,7 +157,8 @@
  private:
   void on(const PeersChanged& event);
   void on(const FrameReceived& event);
-  void on(const BansLoaded& event) { bans_.join(event.bans); }
+  void on(const BansLoaded& event);
+  void on(const ClockRead& event);
   void on(const BanRequested& event);
   void on(const LiftRequested& event);
   void on(const PurgeObserved& event);
@@ -167,6 +185,7 @@
                              const RangeDigests& theirs);
   void join_bans(const BanSet& theirs);
   bool apply_floor(const PurgeFloor& floor);
+  bool accept_time(Time time, const std::string& from);
   void apply_global_floor(Time at);
 
   const ReplicaSettings settings_;
@@ -174,6 +193,7 @@
   Time now_ = 0;
   Time compare_at_ = 0;
   Time started_at_ = 0;                     // the first event
+  std::optional<Time> unix_offset_;         // of Unix time from `now_`
   std::vector<Action>* actions_ = nullptr;  // of the event being handled
   std::vector<std::string> peers_;
   BanSet bans_;
--- a/tests/replication/replica_test.cpp
+++ b/tests/replication/replica_test.cpp
@@ -16,8 +16,10 @@
 
 using alderspur::replication::BansLoaded;
 using alderspur::replication::Dot;
+using alderspur::replication::encode_ban_delta;
 using alderspur::replication::encode_bucket_digests;
 using alderspur::replication::encode_digests;
+using alderspur::replication::encode_floor_updates;
 using alderspur::replication::encode_floors;
 using alderspur::replication::encode_full_bans;
 using alderspur::replication::FrameKind;
@@ -38,6 +40,7 @@
 using simulation::LiftRequested;
 using simulation::Network;
 using simulation::PeersChanged;
+using simulation::PurgeFloor;
 using simulation::PurgeFloors;
 using simulation::PurgeObserved;
 using simulation::Replica;
@@ -282,6 +285,10 @@
   EXPECT_EQ(kinds, (std::set<char>{1, 2, 3, 4, 5, 6, 7})) << "the run has all kinds";
 }
 
+void load_stored(Network& network, const std::string& name, const BanSet& bans) {
+  network.deliver(name, BansLoaded{bans});
+}
+
 // Two replicas, caught up, whose states are made while frames between them are lost.
 class ReplicasAtBound : public ::testing::Test {
  protected:
@@ -317,9 +324,6 @@
     const auto comparisons = rounds * network.nodes().size() + max_followed_at_once;
     EXPECT_LE(network.bytes_sent() - bytes_before, comparisons * max_bytes_per_comparison(network));
   }
-  static void load_bans(Network& network, const std::string& name, const BanSet& bans) {
-    network.deliver(name, BansLoaded{bans});
-  }
 };
 
 // Guards against full sets that are answered by full sets without end.
@@ -364,8 +368,8 @@
 TEST_F(ReplicasAtBound, OfAuthorsExchangeBansOnceAComparison) {
   Network network(6, 2);
   separate(network);
-  load_bans(network, "r0", changes_of_authors("a", kMaxAuthors));
-  load_bans(network, "r1", changes_of_authors("b", kMaxAuthors));
+  load_stored(network, "r0", changes_of_authors("a", kMaxAuthors));
+  load_stored(network, "r1", changes_of_authors("b", kMaxAuthors));
   expect_bounded_traffic(network, 0);
   for (auto& [name, node] : network.nodes()) {
     EXPECT_EQ(node.bound_reports[Bound::authors], 1U) << name;
@@ -383,7 +387,7 @@
 TEST_F(ReplicasAtBound, OfAuthorsReportABanThatCannotBeReplicated) {
   Network network(8, 2);
   network.run(4 * kSecond);
-  load_bans(network, "r0", changes_of_authors("a", kMaxAuthors));
+  load_stored(network, "r0", changes_of_authors("a", kMaxAuthors));
   EXPECT_FALSE(network.replica("r0").has_room_for_ban());
   network.ban("r0", "s-1");
   EXPECT_TRUE(network.node("r0").refused_bans.contains("s-1"));
@@ -395,8 +399,8 @@
 TEST_F(ReplicasAtBound, OfChangesBeyondAGapExchangeBansOnceAComparison) {
   Network network(7, 2);
   separate(network);
-  load_bans(network, "r0", changes_beyond_a_gap("a", kMaxDetachedDots));
-  load_bans(network, "r1", changes_beyond_a_gap("b", kMaxDetachedDots));
+  load_stored(network, "r0", changes_beyond_a_gap("a", kMaxDetachedDots));
+  load_stored(network, "r1", changes_beyond_a_gap("b", kMaxDetachedDots));
   expect_bounded_traffic(network, 0);
   for (auto& [name, node] : network.nodes()) {
     EXPECT_EQ(node.bound_reports[Bound::detached_dots], 1U) << name;
@@ -425,10 +429,10 @@
     for (auto& [name, node] : network.nodes()) {
       const auto kind = network.draw(3);
       if (kind == 0) {
-        load_bans(network, name, changes_of_authors(name, kMaxAuthors - network.draw(3)));
+        load_stored(network, name, changes_of_authors(name, kMaxAuthors - network.draw(3)));
       } else if (kind == 1) {
         const auto count = kMaxDetachedDots - network.draw(3);
-        load_bans(network, name, changes_beyond_a_gap("gap-" + name, count));
+        load_stored(network, name, changes_beyond_a_gap("gap-" + name, count));
       }
       const std::size_t bans = network.draw(2) == 0 ? kMaxBans - network.draw(3) : network.draw(20);
       for (std::size_t i = 0; i < bans; ++i) network.ban(name, name + "-" + std::to_string(i));
@@ -492,6 +496,70 @@
   }
 }
 
+// A set with one ban of that time.
+BanSet bans_made_at(Time at) {
+  BanSet bans;
+  bans.add(author(1), {"s-1", "by hand", at});
+  return bans;
+}
+
+// Guards against floors from the far future, which are never taken back: whatever frame they come
+// in is rejected whole and not passed on.
+TEST(Replica, RejectsTimesBeyondTheClockSkew) {
+  constexpr Time kFarFuture = Time{1} << 61;
+  PurgeFloors folded;
+  folded.raise_global(kFarFuture);
+  const PurgeFloor far{true, 7, kFarFuture};
+  const PurgeFloor past{true, 8, kSecond};
+  const auto frames = {
+      encode_floor_updates({past, far}),         encode_floors(0, {past, far}, {}),
+      encode_floors(kFarFuture, {past}, {}),     encode_digests({}, folded),
+      encode_bucket_digests(kFarFuture, {}),     encode_ban_delta(bans_made_at(kFarFuture)),
+      encode_full_bans(bans_made_at(kFarFuture))};
+  for (const auto& frame : frames) {
+    Network network(4, 3);
+    network.run(2 * kSecond);
+    network.deliver("r0", FrameReceived{"r1", frame});
+    EXPECT_EQ(network.node("r0").clock_skews["r1"], 1U);
+    EXPECT_EQ(network.replica("r0").counters().rejected, 1U);
+    EXPECT_EQ(network.replica("r0").counters().clock_skews, 1U);
+    network.run(3 * kSecond);
+    for (auto& [name, node] : network.nodes()) {
+      EXPECT_EQ(node.replica->floors().floor_of(true, 7), 0) << name;
+      EXPECT_EQ(node.replica->floors().floor_of(true, 8), 0) << name;
+      EXPECT_TRUE(node.replica->bans().empty()) << name;
+    }
+  }
+}
+
+TEST(Replica, AcceptsTimesWithinTheClockSkewAndRejectsItsOwnBeyondIt) {
+  const Time skew = simulation::ReplicaSettings().max_clock_skew;
+  Network network(4, 2);
+  network.run(2 * kSecond);
+  network.deliver("r0", PurgeObserved{{true, 7, network.now() + skew}});
+  ASSERT_TRUE(network.run_until(
+      [&] { return network.replica("r1").floors().floor_of(true, 7) > 0; }, 3 * kSecond));
+  network.deliver("r0", PurgeObserved{{true, 8, network.now() + skew + 1}});
+  EXPECT_EQ(network.replica("r0").floors().floor_of(true, 8), 0);
+  load_stored(network, "r1", bans_made_at(network.now() + 2 * skew));
+  EXPECT_TRUE(network.replica("r1").bans().empty());
+  load_stored(network, "r1", bans_made_at(network.now()));
+  EXPECT_TRUE(network.replica("r1").bans().is_banned("s-1"));
+}
+
+// A router whose clock is behind rejects what the others agree on, and catches up once it is right.
+TEST(Replica, ConvergesOnceAClockThatWasBehindIsRight) {
+  Network network(9, 3);
+  network.run(2 * kSecond);
+  network.node("r2").clock_error = -600 * kSecond;
+  network.purge("r0", 5);
+  network.ban("r0", "s-1");
+  network.run(5 * kSecond);
+  EXPECT_EQ(network.replica("r2").floors().floor_of(true, 5), 0);
+  network.node("r2").clock_error = 0;
+  EXPECT_TRUE(network.run_until([&] { return network.all_equal(); }, 5 * kSecond));
+}
+
 // Loses frames, partitions, stops and starts replicas and makes changes, all drawn.
 class RandomSchedule {
  public:
--- a/tests/replication/simulated_replicas.h
+++ b/tests/replication/simulated_replicas.h
@@ -24,6 +24,7 @@
 using alderspur::replication::BanRequested;
 using alderspur::replication::BanSet;
 using alderspur::replication::Bound;
+using alderspur::replication::ClockRead;
 using alderspur::replication::Event;
 using alderspur::replication::FrameReceived;
 using alderspur::replication::LiftRequested;
@@ -34,6 +35,7 @@
 using alderspur::replication::Replica;
 using alderspur::replication::ReplicaSettings;
 using alderspur::replication::ReportBound;
+using alderspur::replication::ReportClockSkew;
 using alderspur::replication::ReportRefusedBan;
 using alderspur::replication::SendFrame;
 using alderspur::replication::SetBan;
@@ -57,6 +59,8 @@
   std::map<std::uint64_t, Time> purge_floors;  // of objects, as its router was told
   Time global_floor = 0;                       // of everything, as its router was told
   std::map<Bound, std::uint64_t> bound_reports;
+  std::map<std::string, std::uint64_t> clock_skews;  // reports, by peer
+  Time clock_error = 0;                              // of its Unix time
   std::set<std::string> refused_bans;
   std::uint64_t epoch = 0;
 };
@@ -86,6 +90,7 @@
     Node& node = nodes_[name];
     if (!node.replica) return;
     std::vector<Action> actions;
+    node.replica->handle(now_, ClockRead{now_ + node.clock_error}, actions);
     node.replica->handle(now_, event, actions);
     for (const auto& action : actions) carry_out(name, node, action);
   }
@@ -189,6 +194,8 @@
       node.global_floor = std::max(node.global_floor, purge->at);
     } else if (const auto* refused = std::get_if<ReportRefusedBan>(&action)) {
       node.refused_bans.insert(refused->server);
+    } else if (const auto* skew = std::get_if<ReportClockSkew>(&action)) {
+      ++node.clock_skews[skew->from];
     } else if (const auto* report = std::get_if<ReportBound>(&action)) {
       ++node.bound_reports[report->bound];
     } else {
