--- a/tests/cluster/stored_data_test.cpp
+++ b/tests/cluster/stored_data_test.cpp
@@ -9,6 +9,7 @@
 #include "cluster/codec.h"
 #include "cluster/epoch.h"
 #include "cluster/frame_authenticator.h"
+#include "support/mangled_frames.h"
 #include "support/test_data.h"
 
 namespace {
@@ -106,6 +107,20 @@
   EXPECT_EQ(encode(*handshake), bytes);
 }
 
+// Guards against messages of which a part is taken, and against elements of another type that count
+// as empty.
+TEST(StoredData, DecodesNoMangledMessage) {
+  for (const auto& copy : mangled::unacceptable_copies(recorded("message"))) {
+    ASSERT_FALSE(alderspur::cluster::decode_message(copy)) << test_data::to_hex(copy);
+  }
+  for (const auto& copy : mangled::unacceptable_copies(recorded("picture"))) {
+    ASSERT_FALSE(alderspur::cluster::decode_snapshot(copy)) << test_data::to_hex(copy);
+  }
+  for (const auto& copy : mangled::unacceptable_copies(recorded("hello"))) {
+    ASSERT_FALSE(alderspur::cluster::decode_handshake(copy)) << test_data::to_hex(copy);
+  }
+}
+
 TEST(StoredData, SignsAndVerifiesAFrameAsBeforeTheRename) {
   const auto payload = recorded("message");
   const auto frame = recorded("sealed");
