--- a/tests/hot_restart/replacement_fixture.cpp
+++ b/tests/hot_restart/replacement_fixture.cpp
@@ -33,22 +33,9 @@
          R"(","locality":"edge","flavor":"small","phase":"in_service","size":4})";
 }
 
-/// A port that was free a moment ago, on an address of this process's own.
-sockaddr_in free_address() {
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  address.sin_addr.s_addr = htonl(0x7f010000U | (static_cast<unsigned>(::getpid()) & 0xffffU) | 1U);
-  const int fd = ::socket(AF_INET, SOCK_STREAM, 0);
-  socklen_t size = sizeof address;
-  EXPECT_EQ(::bind(fd, reinterpret_cast<sockaddr*>(&address), size), 0);
-  ::getsockname(fd, reinterpret_cast<sockaddr*>(&address), &size);
-  ::close(fd);
-  return address;
-}
-
 }  // namespace
 
-ReplacementTest::ReplacementTest() : address(free_address()) {
+ReplacementTest::ReplacementTest() : address(loopback::free_address()) {
   std::string name = "/tmp/alderspur-test-XXXXXX";
   directory = ::mkdtemp(name.data());
 }
--- a/tests/support/router_process.h
+++ b/tests/support/router_process.h
@@ -1,6 +1,7 @@
 // The program edge_router as a process of its own, and its configuration.
 #pragma once
 
+#include <poll.h>
 #include <sys/stat.h>
 #include <sys/wait.h>
 
@@ -71,6 +72,18 @@
     for (char c; ::read(log_, &c, 1) == 1 && c != '\n';) text += c;
     return text;
   }
+  /// What it has logged since the last call, without waiting.
+  std::string read_available_log() {
+    std::string text;
+    pollfd readable{log_, POLLIN, 0};
+    char buffer[4096];
+    while (::poll(&readable, 1, 0) > 0) {
+      const ssize_t count = ::read(log_, buffer, sizeof buffer);
+      if (count <= 0) break;
+      text.append(buffer, static_cast<std::size_t>(count));
+    }
+    return text;
+  }
   /// Where it listens; waits for it.
   sockaddr_in wait_for_address() {
     const auto said = read_log_line();
--- a/tests/support/rpc_messages.h
+++ b/tests/support/rpc_messages.h
@@ -77,16 +77,19 @@
   std::map<std::string, std::string> fields;
 };
 
-/// All complete responses in what a client has received.
-inline std::vector<RpcResponse> decode_responses(const std::string& received) {
+/// All complete responses in what a client has received; `consumed`: the bytes that they take.
+inline std::vector<RpcResponse> decode_responses(const std::string& received,
+                                                 std::size_t& consumed) {
   const auto text = [](const msgpack_object& object) {
     return std::string(object.via.bin.ptr, object.via.bin.size);
   };
   std::vector<RpcResponse> responses;
   msgpack_unpacked message;
   msgpack_unpacked_init(&message);
+  consumed = 0;
   for (std::size_t offset = 0; msgpack_unpack_next(&message, received.data(), received.size(),
                                                    &offset) == MSGPACK_UNPACK_SUCCESS;) {
+    consumed = offset;
     const auto* elements = message.data.via.array.ptr;
     const bool has_failed = elements[2].type != MSGPACK_OBJECT_NIL;
     const auto& payload = (has_failed ? elements[2] : elements[3]).via.array;
@@ -106,5 +109,9 @@
   msgpack_unpacked_destroy(&message);
   return responses;
 }
+inline std::vector<RpcResponse> decode_responses(const std::string& received) {
+  std::size_t consumed = 0;
+  return decode_responses(received, consumed);
+}
 
 }  // namespace loopback
--- a/tests/support/test_socket.h
+++ b/tests/support/test_socket.h
@@ -48,14 +48,19 @@
 
   /// Appends all that can be read to `received`, and notices the end of the connection.
   void poll() {
-    char buffer[65536];
-    for (ssize_t count = 1; fd_ >= 0 && count > 0;) {
-      count = ::recv(fd_, buffer, sizeof buffer, 0);
-      if (count > 0) received.append(buffer, static_cast<std::size_t>(count));
-      if (count == 0 || (count < 0 && errno != EAGAIN)) is_closed = true;
-      if (count < 0 && errno == ECONNRESET) was_reset = true;
+    while (poll_once()) {
     }
   }
+  /// The same with 64 KB at most; false if nothing was read.
+  bool poll_once() {
+    if (fd_ < 0) return false;
+    char buffer[65536];
+    const ssize_t count = ::recv(fd_, buffer, sizeof buffer, 0);
+    if (count > 0) received.append(buffer, static_cast<std::size_t>(count));
+    if (count == 0 || (count < 0 && errno != EAGAIN)) is_closed = true;
+    if (count < 0 && errno == ECONNRESET) was_reset = true;
+    return count > 0;
+  }
 
   std::string received;
   bool is_closed = false;  // by the peer
@@ -80,6 +85,21 @@
   return fd;
 }
 
+/// An address whose port was free a moment ago; the host is one of this process's own, in
+/// 127.1.0.0/16, so that other tests do not take the port meanwhile.
+inline sockaddr_in free_address() {
+  constexpr unsigned kNetwork = 0x7f010000U;
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_addr.s_addr = htonl(kNetwork | (static_cast<unsigned>(::getpid()) & 0xffffU) | 1U);
+  const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  socklen_t size = sizeof address;
+  EXPECT_EQ(::bind(fd, reinterpret_cast<sockaddr*>(&address), size), 0);
+  ::getsockname(fd, reinterpret_cast<sockaddr*>(&address), &size);
+  ::close(fd);
+  return address;
+}
+
 inline std::unique_ptr<TestSocket> connect_to(const sockaddr_in& address) {
   const int fd = ::socket(AF_INET, SOCK_STREAM, 0);
   EXPECT_EQ(::connect(fd, reinterpret_cast<const sockaddr*>(&address), sizeof address), 0);
