--- a/src/cli/run.cpp
+++ b/src/cli/run.cpp
@@ -62,9 +62,9 @@
 
   const settings::Settings& settings_;
   log::Log& log_;
-  /// Owned by node_; null without membership.
+  /// Owned by router_; null without membership.
   control::EndpointController* endpoint_controller_ = nullptr;
-  edge_router::EdgeRouter node_;
+  edge_router::EdgeRouter router_;
   std::unique_ptr<control::Routes> routes_;
   std::unique_ptr<signed_url::HttpFront> signed_url_front_;
   std::unique_ptr<xds::Server> discovery_server_;
@@ -77,9 +77,9 @@
                              log::Log& log)
     : settings_(settings),
       log_(log),
-      node_(std::move(config), log_sink(), endpoint_sink_factory()) {
-  node_.set_config_path(settings_.config_file);
-  node_.set_counters_report([this] { log_counters(); });
+      router_(std::move(config), log_sink(), endpoint_sink_factory()) {
+  router_.set_config_path(settings_.config_file);
+  router_.set_counters_report([this] { log_counters(); });
   create_routes();
   create_signed_url_front();
   create_discovery_server();
@@ -98,9 +98,9 @@
 
 edge_router::EdgeRouter::MakeEndpointSink RunningRouter::endpoint_sink_factory() {
   if (!settings_.membership) return {};
-  return [this](edge_router::EdgeRouter& node) {
+  return [this](edge_router::EdgeRouter& router) {
     auto controller =
-        std::make_unique<control::EndpointController>(node, *settings_.membership, log_);
+        std::make_unique<control::EndpointController>(router, *settings_.membership, log_);
     endpoint_controller_ = controller.get();
     return controller;
   };
@@ -108,16 +108,16 @@
 
 void RunningRouter::create_routes() {
   if (settings_.routes_file.empty()) return;
-  routes_ = std::make_unique<control::Routes>(node_, settings_.routes_file, log_);
+  routes_ = std::make_unique<control::Routes>(router_, settings_.routes_file, log_);
 }
 
 void RunningRouter::create_signed_url_front() {
   if (!settings_.signed_url) return;
   signed_url_front_ = std::make_unique<signed_url::HttpFront>(
-      node_.loop(), node_.deadlines(), node_.engine(), node_.config(), *settings_.signed_url,
-      net::unix_now, routes_.get());
-  node_.add({[this] { signed_url_front_->end_turn(); }, [this] { signed_url_front_->drain(); },
-             [this] { return signed_url_front_->is_drained(); }});
+      router_.loop(), router_.deadlines(), router_.engine(), router_.config(),
+      *settings_.signed_url, net::unix_now, routes_.get());
+  router_.add({[this] { signed_url_front_->end_turn(); }, [this] { signed_url_front_->drain(); },
+               [this] { return signed_url_front_->is_drained(); }});
   log_.record("signed", log::Level::info, "listening",
               {{"address", net::to_string(signed_url_front_->address())}});
 }
@@ -125,24 +125,24 @@
 void RunningRouter::create_discovery_server() {
   if (!settings_.xds) return;
   discovery_server_ =
-      std::make_unique<xds::Server>(node_.loop(), node_.deadlines(), node_.engine(),
-                                    node_.upstream_pool(), *settings_.xds, kMaxProxies);
-  node_.add({[this] { discovery_server_->end_turn(); },
-             [this] { discovery_server_->stop_listening(); },
-             {}});
+      std::make_unique<xds::Server>(router_.loop(), router_.deadlines(), router_.engine(),
+                                    router_.upstream_pool(), *settings_.xds, kMaxProxies);
+  router_.add({[this] { discovery_server_->end_turn(); },
+               [this] { discovery_server_->stop_listening(); },
+               {}});
   log_.record("xds", log::Level::info, "listening",
               {{"address", net::to_string(discovery_server_->address())}});
 }
 
 void RunningRouter::create_cluster() {
   if (!settings_.cluster) return;
-  cluster_ = std::make_unique<control::ClusterService>(node_, *settings_.cluster, log_);
+  cluster_ = std::make_unique<control::ClusterService>(router_, *settings_.cluster, log_);
 }
 
 void RunningRouter::create_replication() {
   if (!cluster_ || !settings_.cluster->replicates_bans) return;
   replication_ =
-      std::make_unique<control::ReplicationService>(node_, *cluster_, *settings_.cluster, log_);
+      std::make_unique<control::ReplicationService>(router_, *cluster_, *settings_.cluster, log_);
 }
 
 void RunningRouter::create_consensus() {
@@ -150,22 +150,22 @@
   control::VersionFiles files{settings_.membership ? settings_.membership->list : std::string(),
                               settings_.routes_file, [this] { reload_files(); },
                               [this] { return endpoint_list_generation(); }};
-  consensus_ = std::make_unique<control::ConsensusService>(node_, *cluster_, *settings_.cluster,
+  consensus_ = std::make_unique<control::ConsensusService>(router_, *cluster_, *settings_.cluster,
                                                            std::move(files), log_);
 }
 
 void RunningRouter::handle_signals() {
-  node_.on_reload([this] { reload_files(); });
-  node_.loop().on_signal(SIGUSR1, [this] {
+  router_.on_reload([this] { reload_files(); });
+  router_.loop().on_signal(SIGUSR1, [this] {
     log_endpoint_summary();
     log_.flush();
   });
 }
 
 void RunningRouter::log_counters() {
-  std::vector<log::Field> fields{{"open", node_.engine().open_request_count()},
-                                 {"links", node_.upstream_pool().connection_count()}};
-  for (const auto& [name, value] : core::named_counters(node_.engine().counters())) {
+  std::vector<log::Field> fields{{"open", router_.engine().open_request_count()},
+                                 {"links", router_.upstream_pool().connection_count()}};
+  for (const auto& [name, value] : core::named_counters(router_.engine().counters())) {
     fields.emplace_back(name, value);
   }
   log_.record("router", log::Level::info, "counters", fields);
@@ -191,13 +191,13 @@
 
 /// False where a worker is blocked by its disk: only _exit() can then end the process.
 bool RunningRouter::stop_workers() {
-  if (!node_.stop_workers()) return false;
+  if (!router_.stop_workers()) return false;
   if (consensus_ && !consensus_->stop_workers()) return false;
   return !replication_ || replication_->stop_worker();
 }
 
 void RunningRouter::run() {
-  node_.run();
+  router_.run();
   shut_down();
 }
 
--- a/src/cluster/codec.h
+++ b/src/cluster/codec.h
@@ -16,8 +16,8 @@
 
 namespace alderspur::cluster {
 
-constexpr std::size_t kMaxDatagram = 4096;          // bytes, authentication included
-constexpr std::size_t kMaxSnapshotFrame = 1 << 20;  // bytes, authentication included
+constexpr std::size_t kMaxDatagramBytes = 4096;          // bytes, authentication included
+constexpr std::size_t kMaxSnapshotFrameBytes = 1 << 20;  // bytes, authentication included
 
 std::string encode(const Message& message);
 /// Nothing if the bytes have another form.
--- a/src/cluster_transport/exchanges.cpp
+++ b/src/cluster_transport/exchanges.cpp
@@ -10,7 +10,7 @@
 namespace {
 
 using cluster::FrameStatus;
-using cluster::kMaxSnapshotFrame;
+using cluster::kMaxSnapshotFrameBytes;
 using cluster::MembershipSnapshot;
 
 constexpr std::ptrdiff_t kCloseConnection = -1;  // in place of a number of bytes read
@@ -58,7 +58,7 @@
                                      std::vector<cluster::GossipUpdate> members) {
   const MembershipSnapshot snapshot{echoed_nonce, peer.nonce, std::move(members)};
   const auto frame = authenticator_.sign(encode(snapshot));
-  if (frame.size() > kMaxSnapshotFrame) {
+  if (frame.size() > kMaxSnapshotFrameBytes) {
     report_dropped("oversized", "our own picture");
     return close(peer);
   }
@@ -78,7 +78,7 @@
   if (bytes.size() < sizeof size) return 0;
   std::memcpy(&size, bytes.data(), sizeof size);
   size = ntohl(size);
-  if (size > (peer.is_channel ? kMaxChannelFrame : kMaxSnapshotFrame)) {
+  if (size > (peer.is_channel ? kMaxChannelFrame : kMaxSnapshotFrameBytes)) {
     report_dropped("oversized", kPeerOfExchange);
     return kCloseConnection;
   }
--- a/src/cluster_transport/transport.cpp
+++ b/src/cluster_transport/transport.cpp
@@ -15,7 +15,7 @@
 namespace {
 
 using cluster::FrameStatus;
-using cluster::kMaxDatagram;
+using cluster::kMaxDatagramBytes;
 using cluster::kNever;
 
 constexpr Time kDropReportInterval = 10'000'000;            // of one kind
@@ -128,7 +128,7 @@
   const auto to = net::parse_address(address);
   if (!to) return;
   const auto frame = authenticator_.sign(encode(message));
-  if (frame.size() > kMaxDatagram) return report_dropped("oversized", address);
+  if (frame.size() > kMaxDatagramBytes) return report_dropped("oversized", address);
   ++counters_.datagrams_out;
   counters_.bytes_out += frame.size();
   // A full socket buffer loses the datagram, as the network may.
@@ -137,7 +137,7 @@
 }
 
 void ClusterTransport::receive_datagrams() {
-  std::array<char, kMaxDatagram + 1> buffer;  // one byte more tells an oversized one
+  std::array<char, kMaxDatagramBytes + 1> buffer;  // one byte more tells an oversized one
   for (std::size_t i = 0; i < kMaxDatagramsPerTurn; ++i) {
     sockaddr_in from{};
     socklen_t from_size = sizeof from;
@@ -153,7 +153,7 @@
 }
 
 void ClusterTransport::handle_datagram(std::string_view datagram, const std::string& from) {
-  if (datagram.size() > kMaxDatagram) return report_dropped("oversized", from);
+  if (datagram.size() > kMaxDatagramBytes) return report_dropped("oversized", from);
   const auto verified = authenticator_.verify(datagram, now_());
   if (verified.status != FrameStatus::valid) {
     return report_dropped(cluster::to_string(verified.status), from);
--- a/src/cluster_transport/transport.h
+++ b/src/cluster_transport/transport.h
@@ -14,10 +14,10 @@
 // whose connection makes no progress for kStallTimeout, loses what waits for it, and delays no
 // other channel. The frames of a channel have a sender id of their own.
 //
-// Bounds: datagrams of kMaxDatagram bytes and kMaxDatagramsPerTurn of them a turn of the loop;
-// kMaxExchanges exchanges of kExchangeTimeout each and frames of kMaxSnapshotFrame; kMaxChannels
-// channels. One thread: the loop's. What cannot be used is dropped, counted and reported once in
-// ten seconds a kind.
+// Bounds: datagrams of kMaxDatagramBytes bytes and kMaxDatagramsPerTurn of them a turn of the loop;
+// kMaxExchanges exchanges of kExchangeTimeout each and frames of kMaxSnapshotFrameBytes;
+// kMaxChannels channels. One thread: the loop's. What cannot be used is dropped, counted and
+// reported once in ten seconds a kind.
 #pragma once
 
 #include <sys/types.h>
--- a/src/control/cluster_service.cpp
+++ b/src/control/cluster_service.cpp
@@ -54,17 +54,17 @@
 
 }  // namespace
 
-ClusterService::ClusterService(edge_router::EdgeRouter& node, const settings::Cluster& settings,
+ClusterService::ClusterService(edge_router::EdgeRouter& router, const settings::Cluster& settings,
                                log::Log& log)
-    : node_(node), log_(log) {
+    : router_(router), log_(log) {
   std::string secret = read_secret(settings.secret_file);
-  const cluster::Identity self = make_identity(settings, node.config().name, log);
+  const cluster::Identity self = make_identity(settings, router.config().name, log);
   create_transport(settings, std::move(secret), self);
   log.record(kLogModule, log::Level::info, "listening",
              {{"address", net::to_string(transport_->address())}, {"name", self.name}});
-  node.add({[this] { transport_->end_turn(); }, [this] { transport_->leave(); },
-            [this] { return transport_->has_left(); }});
-  node.set_cluster_view([this] { return view(); });
+  router.add({[this] { transport_->end_turn(); }, [this] { transport_->leave(); },
+              [this] { return transport_->has_left(); }});
+  router.set_cluster_view([this] { return view(); });
 }
 
 void ClusterService::create_transport(const settings::Cluster& settings, std::string secret,
@@ -77,8 +77,8 @@
   transport.advertise = settings.advertise;
   transport.membership = settings.membership;
   transport_ = std::make_unique<cluster_transport::ClusterTransport>(
-      node_.loop(), node_.deadlines(), [&node = node_] { return node.engine().now(); }, transport,
-      self, random_seed(), transport_hooks());
+      router_.loop(), router_.deadlines(), [&router = router_] { return router.engine().now(); },
+      transport, self, random_seed(), transport_hooks());
 }
 
 cluster_transport::ClusterTransport::Hooks ClusterService::transport_hooks() {
@@ -131,7 +131,7 @@
 }
 
 std::string ClusterService::view() const {
-  return cluster_view(transport_->membership(), transport_->counters(), node_.engine().now(),
+  return cluster_view(transport_->membership(), transport_->counters(), router_.engine().now(),
                       view_extension_);
 }
 
--- a/src/control/cluster_service.h
+++ b/src/control/cluster_service.h
@@ -34,8 +34,8 @@
   using MembersHandler = std::function<void(const std::vector<std::string>& names)>;
 
   /// Reads the secret, begins a new epoch and joins the cluster. Throws config::Error with the
-  /// reason in one line. `node` and `log` must outlive the service.
-  ClusterService(edge_router::EdgeRouter& node, const settings::Cluster& settings, log::Log& log);
+  /// reason in one line. `router` and `log` must outlive the service.
+  ClusterService(edge_router::EdgeRouter& router, const settings::Cluster& settings, log::Log& log);
 
   /// The view as JSON, with what the services add to it.
   std::string view() const;
@@ -70,7 +70,7 @@
   void handle_member_change(const cluster::MemberChanged& change);
   void notify_members();
 
-  edge_router::EdgeRouter& node_;
+  edge_router::EdgeRouter& router_;
   log::Log& log_;
   FrameHandler consensus_handler_;
   FrameHandler replication_handler_;
--- a/src/control/endpoint_controller.cpp
+++ b/src/control/endpoint_controller.cpp
@@ -40,23 +40,23 @@
 
 }  // namespace
 
-EndpointController::EndpointController(edge_router::EdgeRouter& node,
+EndpointController::EndpointController(edge_router::EdgeRouter& router,
                                        const settings::Membership& settings, log::Log& log)
-    : node_(node),
+    : router_(router),
       settings_(settings),
       log_(log),
       endpoints_(settings.endpoint_set),
-      evaluator_(std::make_shared<ListEvaluator>(settings, node.config().names.zones)),
-      wakeup_(node.loop()) {
-  const core::Time now = node_.engine().now();
+      evaluator_(std::make_shared<ListEvaluator>(settings, router.config().names.zones)),
+      wakeup_(router.loop()) {
+  const core::Time now = router_.engine().now();
   if (settings_.list.empty()) return;
   create_watcher();
   load_initial_list(now);
 }
 
 EndpointController::~EndpointController() {
-  if (advance_timer_) node_.deadlines().cancel(*advance_timer_);
-  if (save_timer_) node_.deadlines().cancel(*save_timer_);
+  if (advance_timer_) router_.deadlines().cancel(*advance_timer_);
+  if (save_timer_) router_.deadlines().cancel(*save_timer_);
 }
 
 void EndpointController::create_watcher() {
@@ -70,7 +70,7 @@
     auto evaluation = std::make_shared<ListEvaluation>(evaluator->evaluate(files));
     return [this, evaluation = std::move(evaluation)] { apply_evaluation(*evaluation); };
   };
-  watcher_ = std::make_unique<file_watch::Watcher>(node_.loop(), node_.deadlines(), wakeup_,
+  watcher_ = std::make_unique<file_watch::Watcher>(router_.loop(), router_.deadlines(), wakeup_,
                                                    reader_, watch, list_pieces, evaluate_files);
 }
 
@@ -160,7 +160,7 @@
   const auto& candidate = *evaluation.candidate;
   const core::Time began_at = net::unix_now();
   const auto before = endpoints_.current_list();
-  if (!endpoints_.apply_list(candidate, node_.engine().now())) {
+  if (!endpoints_.apply_list(candidate, router_.engine().now())) {
     watcher_->poll_now();  // another list has become active meanwhile: evaluate against that one
     return;
   }
@@ -183,7 +183,7 @@
 void EndpointController::update_endpoints(bool complete,
                                           const std::vector<config::Member>& members) {
   if (settings_.endpoint_set.authority == endpoints::Authority::files) return;
-  endpoints_.apply_board_update(complete, members, node_.engine().now());
+  endpoints_.apply_board_update(complete, members, router_.engine().now());
   publish_changes();
 }
 
@@ -196,12 +196,12 @@
   for (const auto& change : changes) {
     const Server& server = change.member.server;
     if (!is_relevant(server)) continue;
-    node_.upstream_pool().update_endpoint(change.member);
+    router_.upstream_pool().update_endpoint(change.member);
     update.servers.push_back(server);
     if (is_serving_) log_change(change);
   }
   if (!update.servers.empty()) {
-    node_.engine().update_endpoints(std::move(update));
+    router_.engine().update_endpoints(std::move(update));
     schedule_save();
   }
   schedule_advance();
@@ -227,7 +227,7 @@
 // departure of a server that was published is still published.
 bool EndpointController::is_relevant(const Server& server) {
   const bool is_local =
-      server.role != Role::cache || server.location == node_.config().settings.location;
+      server.role != Role::cache || server.location == router_.config().settings.location;
   if (is_local && server.status != ServerStatus::gone) {
     published_servers_.insert(server.id.value);
     return true;
@@ -243,15 +243,15 @@
   const core::Time next = endpoints_.next_wakeup();
   if (advance_timer_ && advance_at_ <= next) return;
   if (advance_timer_) {
-    node_.deadlines().cancel(*advance_timer_);
+    router_.deadlines().cancel(*advance_timer_);
     advance_timer_.reset();
   }
   if (next == std::numeric_limits<core::Time>::max()) return;
   advance_at_ = next;
-  advance_timer_ = node_.deadlines().set(next, [this] {
+  advance_timer_ = router_.deadlines().set(next, [this] {
     advance_timer_.reset();
     const core::Time began_at = net::unix_now();
-    endpoints_.advance(node_.engine().now());
+    endpoints_.advance(router_.engine().now());
     publish_changes();
     record_hold_time(began_at);
   });
@@ -268,7 +268,7 @@
 
 void EndpointController::schedule_save() {
   if (settings_.state_directory.empty() || save_timer_ || is_saving_) return;
-  save_timer_ = node_.deadlines().set(net::unix_now() + kSaveDelay, [this] {
+  save_timer_ = router_.deadlines().set(net::unix_now() + kSaveDelay, [this] {
     save_timer_.reset();
     save();
   });
--- a/src/control/endpoint_controller.h
+++ b/src/control/endpoint_controller.h
@@ -37,9 +37,9 @@
 class EndpointController : public discovery::EndpointSink {
  public:
   /// Loads the list to start from: that of the files, else the last valid state. Throws
-  /// config::Error where the files are the authority and there is neither. `node` and `log` must
+  /// config::Error where the files are the authority and there is neither. `router` and `log` must
   /// outlive the controller.
-  EndpointController(edge_router::EdgeRouter& node, const settings::Membership& settings,
+  EndpointController(edge_router::EdgeRouter& router, const settings::Membership& settings,
                      log::Log& log);
   ~EndpointController() override;
 
@@ -81,7 +81,7 @@
   void schedule_save();
   void save();
 
-  edge_router::EdgeRouter& node_;
+  edge_router::EdgeRouter& router_;
   const settings::Membership settings_;
   log::Log& log_;
   endpoints::EndpointSet endpoints_;
--- a/src/control/replication_service.cpp
+++ b/src/control/replication_service.cpp
@@ -31,14 +31,14 @@
 
 }  // namespace
 
-ReplicationService::ReplicationService(edge_router::EdgeRouter& node, ClusterService& cluster,
+ReplicationService::ReplicationService(edge_router::EdgeRouter& router, ClusterService& cluster,
                                        const settings::Cluster& settings, log::Log& log)
-    : node_(node),
+    : router_(router),
       cluster_(cluster),
       log_(log),
       path_(file_path(settings.state_directory)),
-      purge_propagation_time_(node.config().settings.purge_propagation_time),
-      wakeup_(node.loop()) {
+      purge_propagation_time_(router.config().settings.purge_propagation_time),
+      wakeup_(router.loop()) {
   replication::ReplicaSettings replica_settings;
   const auto& self = cluster.link().membership().self();
   replica_settings.self = {self.name, self.epoch};
@@ -53,17 +53,17 @@
 }
 
 ReplicationService::~ReplicationService() {
-  if (tick_timer_) node_.deadlines().cancel(*tick_timer_);
+  if (tick_timer_) router_.deadlines().cancel(*tick_timer_);
 }
 
 bool ReplicationService::stop_worker() { return writer_.stop(kStopTimeout); }
 
 void ReplicationService::subscribe_to_router() {
-  node_.on_ban([this](const hot_restart::BanChange& change) { handle_local_ban(change); });
-  node_.set_ban_replication_check(
+  router_.on_ban([this](const hot_restart::BanChange& change) { handle_local_ban(change); });
+  router_.set_ban_replication_check(
       [this](const std::string& server) { return is_ban_replicated(server); });
-  node_.set_readiness_condition([this] { return has_started_ && replica_->is_caught_up(); });
-  node_.engine().on_purge([this](const core::PurgeNotice& notice) {
+  router_.set_readiness_condition([this] { return has_started_ && replica_->is_caught_up(); });
+  router_.engine().on_purge([this](const core::PurgeNotice& notice) {
     if (notice.covers_everything) return;  // it came from the replica
     handle(replication::PurgeObserved{
         {notice.object.has_value(), notice.object.value_or(notice.group), notice.unix_time}});
@@ -107,7 +107,7 @@
   saved_digest_ = stored ? replica_->bans().digest() : 0;
   handle(replication::PeersChanged{peers_});
   apply_replicated_bans();
-  for (const auto& server : node_.bans()) {
+  for (const auto& server : router_.bans()) {
     if (!replica_->bans().is_banned(server)) handle_local_ban({server, true});
   }
   for (const auto& change : std::exchange(pending_changes_, {})) handle_local_ban(change);
@@ -115,7 +115,7 @@
 
 void ReplicationService::apply_replicated_bans() {
   is_applying_ban_ = true;
-  for (const auto& server : replica_->bans().banned_servers()) node_.ban({server, true});
+  for (const auto& server : replica_->bans().banned_servers()) router_.ban({server, true});
   is_applying_ban_ = false;
 }
 
@@ -128,7 +128,7 @@
   }
   unreplicated_bans_.erase(change.server);
   if (change.is_banned) {
-    handle(replication::BanRequested{change.server, "by hand", node_.engine().now()});
+    handle(replication::BanRequested{change.server, "by hand", router_.engine().now()});
   } else {
     handle(replication::LiftRequested{change.server});
   }
@@ -155,9 +155,9 @@
 }
 
 void ReplicationService::schedule_tick() {
-  if (tick_timer_) node_.deadlines().cancel(*tick_timer_);
+  if (tick_timer_) router_.deadlines().cancel(*tick_timer_);
   const core::Time delay = std::max(kMinTickDelay, replica_->next_tick() - net::steady_now());
-  tick_timer_ = node_.deadlines().set(node_.engine().now() + delay, [this] {
+  tick_timer_ = router_.deadlines().set(router_.engine().now() + delay, [this] {
     tick_timer_.reset();
     handle(replication::Tick{});
     retry_unreplicated_bans();
@@ -190,19 +190,19 @@
   log_.record(kLogModule, log::Level::info, ban.is_banned ? "banned" : "lifted",
               {{"server", ban.server}});
   is_applying_ban_ = true;
-  node_.ban({ban.server, ban.is_banned});
+  router_.ban({ban.server, ban.is_banned});
   is_applying_ban_ = false;
 }
 
 bool ReplicationService::may_have_copies_from_before(core::Time purged_at) const {
-  return purged_at >= node_.engine().now() - purge_propagation_time_ - kPurgeAgeMargin;
+  return purged_at >= router_.engine().now() - purge_propagation_time_ - kPurgeAgeMargin;
 }
 
 void ReplicationService::apply_purge(const replication::PurgeFloor& floor) {
   if (!may_have_copies_from_before(floor.at)) return;
   const auto object = floor.is_object ? std::optional(floor.id) : std::nullopt;
   const auto group = floor.is_object ? 0 : static_cast<std::uint32_t>(floor.id);
-  node_.engine().purge({object, group, floor.at});
+  router_.engine().purge({object, group, floor.at});
 }
 
 void ReplicationService::apply_global_purge(core::Time at) {
@@ -212,7 +212,7 @@
   core::PurgeNotice notice;
   notice.unix_time = at;
   notice.covers_everything = true;
-  node_.engine().purge(notice);
+  router_.engine().purge(notice);
 }
 
 void ReplicationService::save() {
--- a/src/control/replication_service.h
+++ b/src/control/replication_service.h
@@ -27,9 +27,9 @@
 /// The replica of one router; constructed and used on the loop's thread.
 class ReplicationService {
  public:
-  /// Begins to read the file; the replica starts on the loop once it has been read. `node`,
+  /// Begins to read the file; the replica starts on the loop once it has been read. `router`,
   /// `cluster` and `log` must outlive the service.
-  ReplicationService(edge_router::EdgeRouter& node, ClusterService& cluster,
+  ReplicationService(edge_router::EdgeRouter& router, ClusterService& cluster,
                      const settings::Cluster& settings, log::Log& log);
   ~ReplicationService();
   ReplicationService(const ReplicationService&) = delete;
@@ -61,7 +61,7 @@
   void finish_save(std::uint64_t digest, const std::optional<store::FileError>& error);
   void write_view(json::Writer& writer) const;
 
-  edge_router::EdgeRouter& node_;
+  edge_router::EdgeRouter& router_;
   ClusterService& cluster_;
   log::Log& log_;
   const std::string path_;  // empty: nothing is stored
--- a/src/control/routes.cpp
+++ b/src/control/routes.cpp
@@ -130,9 +130,9 @@
   limits::Reservation reservation_;
 };
 
-Routes::Routes(edge_router::EdgeRouter& node, std::string file, log::Log& log)
-    : node_(node), file_(std::move(file)), log_(log), wakeup_(node.loop()) {
-  auto result = compile_routes(file_, node.config());
+Routes::Routes(edge_router::EdgeRouter& router, std::string file, log::Log& log)
+    : router_(router), file_(std::move(file)), log_(log), wakeup_(router.loop()) {
+  auto result = compile_routes(file_, router.config());
   if (!result.routes) {
     const auto errors = first_errors(result.findings);
     throw config::Error("the routes do not check: " + (errors.empty() ? file_ : errors[0]));
@@ -152,7 +152,7 @@
     return;
   }
   is_compiling_ = true;
-  const bool is_submitted = worker_.submit([this, &config = node_.config()] {
+  const bool is_submitted = worker_.submit([this, &config = router_.config()] {
     wakeup_.post([this, result = compile_routes(file_, config)] { finish_reload(result); });
   });
   if (!is_submitted) is_compiling_ = false;
@@ -187,8 +187,8 @@
   attributes.host = request.host;
   attributes.path = path;
   attributes.method = request.method == http::Method::head ? "HEAD" : "GET";
-  const auto& zones = node_.config().names.zones;
-  const auto own_zone = node_.config().settings.location.value;
+  const auto& zones = router_.config().names.zones;
+  const auto own_zone = router_.config().settings.location.value;
   if (own_zone < zones.size()) attributes.location = zones[own_zone];
   attributes.header = [&request](std::string_view name) { return request.field(name); };
   attributes.query = [query](std::string_view name) { return http::parameter(query, name); };
--- a/src/control/routes.h
+++ b/src/control/routes.h
@@ -49,9 +49,9 @@
 
 class Routes : public signed_url::RouteSelector {
  public:
-  /// Compiles the file on this thread. Throws config::Error where it has errors. `node` and `log`
+  /// Compiles the file on this thread. Throws config::Error where it has errors. `router` and `log`
   /// must outlive the routes.
-  Routes(edge_router::EdgeRouter& node, std::string file, log::Log& log);
+  Routes(edge_router::EdgeRouter& router, std::string file, log::Log& log);
   ~Routes() override;
 
   /// Compiles the file again on the worker, and once more if called meanwhile.
@@ -74,7 +74,7 @@
   std::optional<routing::Match> find_route(const http::Request& request, std::string_view path,
                                            std::string_view query) const;
 
-  edge_router::EdgeRouter& node_;
+  edge_router::EdgeRouter& router_;
   const std::string file_;
   log::Log& log_;
   limits::Limits limits_;
--- a/src/policy_state/purge_table.h
+++ b/src/policy_state/purge_table.h
@@ -9,7 +9,8 @@
 
 namespace alderspur::policy {
 
-/// The latest purge of each object and group, and of everything. No decisions. Owned by RoutingContext; one thread.
+/// The latest purge of each object and group, and of everything. No decisions. Owned by
+/// RoutingContext; one thread.
 class PurgeTable {
  public:
   /// Records a purge that was received at `now`.
--- a/src/xds/eds.cpp
+++ b/src/xds/eds.cpp
@@ -33,9 +33,8 @@
   }
   if (!document.HasMember("resource_names")) return true;
   const auto& names = document["resource_names"];
-  return names.IsArray() && std::all_of(names.Begin(), names.End(), [](const auto& name) {
-           return name.IsString();
-         });
+  return names.IsArray() &&
+         std::all_of(names.Begin(), names.End(), [](const auto& name) { return name.IsString(); });
 }
 
 /// A request without names asks for all resources.
--- a/tests/discovery/discovery_client_test.cpp
+++ b/tests/discovery/discovery_client_test.cpp
@@ -109,8 +109,8 @@
   EXPECT_EQ(engine->counters().rejected + engine->counters().failed, 0u);
 }
 
-// Guards against a complete list of elements that are no servers, which emptied the active list, and
-// against a purge that names nothing, which voided the copies of group 0.
+// Guards against a complete list of elements that are no servers, which emptied the active list,
+// and against a purge that names nothing, which voided the copies of group 0.
 TEST_F(DiscoveryClientTest, ChangesNothingWhenAPartOfAnEventIsMalformed) {
   auto watch = accept_watch();
   const auto unknown_parts = {R"("pool":{"complete":true,"members":[7,"s-a"]})",
