Replication: one check of room, and the tests at the bounds in a file of their own

Read once more: CausalContext held the same bound as has_room_for() and is_full_for(), and BanSet::add() checked it apart; encoded sets near a bound were made in two tests.

--- a/src/replication/ban_set.cpp
+++ b/src/replication/ban_set.cpp
@@ -77,13 +77,13 @@
 
 BanSet BanSet::add(const Author& author, const Ban& ban) {
   BanSet delta;
-  if (bans_.size() >= kMaxBans) return delta;
+  if (!has_room_for(author)) return delta;
   const bool is_known = std::any_of(bans_.begin(), bans_.end(), [&](const auto& entry) {
     return entry.first.author == author && entry.second.server == ban.server;
   });
   if (is_known) return delta;
   const Dot dot{author, context_.last_contiguous(author) + 1};
-  if (!context_.add(dot)) return delta;
+  (void)context_.add(dot);  // it leaves no gap, and there is room
   insert(dot, ban);
   delta.insert(dot, ban);
   (void)delta.context_.add(dot);
--- a/src/replication/causal_context.h
+++ b/src/replication/causal_context.h
@@ -43,7 +43,7 @@
   /// False, and nothing changes, where a bound would be exceeded.
   bool add(const Dot& dot) {
     if (contains(dot)) return true;
-    if (is_full_for(dot.author)) return false;
+    if (!has_room_for(dot.author)) return false;
     const bool is_next = dot.sequence == last_contiguous(dot.author) + 1;
     if (!is_next && detached_.size() >= kMaxDetachedDots) return false;
     detached_.insert(dot);
@@ -55,10 +55,10 @@
   bool join(const CausalContext& other) {
     bool is_complete = true;
     for (const auto& [author, last] : other.contiguous_) {
-      if (is_full_for(author)) {
-        is_complete = false;
-      } else {
+      if (has_room_for(author)) {
         add_up_to(author, last);
+      } else {
+        is_complete = false;
       }
     }
     for (const auto& dot : other.detached_) is_complete = add(dot) && is_complete;
@@ -66,7 +66,9 @@
   }
 
   /// Whether the next change of this author can be added.
-  bool has_room_for(const Author& author) const { return !is_full_for(author); }
+  bool has_room_for(const Author& author) const {
+    return contiguous_.size() < kMaxAuthors || contiguous_.contains(author);
+  }
 
   /// Adds all dots of `author` up to and including `sequence`, whatever the bounds.
   void add_up_to(const Author& author, std::uint64_t sequence) {
@@ -89,10 +91,6 @@
   bool operator==(const CausalContext&) const = default;
 
  private:
-  bool is_full_for(const Author& author) const {
-    return contiguous_.size() >= kMaxAuthors && !contiguous_.contains(author);
-  }
-
   // Moves the dots that follow `last` without a gap out of detached_.
   void absorb_detached(const Author& author, std::uint64_t& last) {
     auto next = detached_.find({author, last + 1});
--- /dev/null
+++ b/tests/replication/bounds_test.cpp
@@ -0,0 +1,164 @@
+// Replicas at the bounds on what a copy holds: the traffic stays bounded, and the bound is
+// reported.
+#include <gtest/gtest.h>
+
+#include "replication/frame_codec.h"
+#include "replication/replica.h"
+#include "replication/seen_changes.h"
+#include "replication/simulated_replicas.h"
+
+namespace {
+
+using alderspur::replication::encode_full_bans;
+using alderspur::replication::kMaxAuthors;
+using alderspur::replication::kMaxBans;
+using alderspur::replication::kMaxDetachedDots;
+using alderspur::replication::kMaxRangesPerFrame;
+using alderspur::replication::kRanges;
+using simulation::BanSet;
+using simulation::Bound;
+using simulation::exploration_factor;
+using simulation::kSecond;
+using simulation::load_stored;
+using simulation::Network;
+using simulation::replica_name;
+using simulation::Time;
+
+// Two replicas, caught up, whose states are made while frames between them are lost.
+class ReplicasAtBound : public ::testing::Test {
+ protected:
+  static constexpr std::size_t kFloorsHeld = 50;
+  static constexpr Time kMeasuredTime = 5 * kSecond;
+
+  void separate(Network& network) {
+    network.run(4 * kSecond);
+    network.set_loss([](const auto&, const auto&) { return true; });
+  }
+  // What one comparison may send: digests, a full set each way, and all that floors may take.
+  static std::uint64_t max_bytes_per_comparison(Network& network) {
+    std::size_t bans = 0;
+    std::size_t floors = 0;
+    for (auto& [name, node] : network.nodes()) {
+      bans = std::max(bans, encode_full_bans(node.replica->bans()).size());
+      floors = std::max(floors, node.replica->floors().size());
+    }
+    constexpr std::size_t kMaxNumberBytes = 9;
+    constexpr std::size_t kMaxDigestsBytes = (kRanges + 4) * kMaxNumberBytes;
+    const std::size_t bucket_digests = std::min(floors, kMaxRangesPerFrame) * kMaxDigestsBytes;
+    const std::size_t floor_lists = 2 * floors * (3 * kMaxNumberBytes + 1) + 2 * kMaxNumberBytes;
+    return kMaxDigestsBytes + 2 * bans + bucket_digests + floor_lists;
+  }
+  // Joins the replicas again and expects no more than one comparison a replica and interval, and
+  // one more for each that floors follow at once.
+  static void expect_bounded_traffic(Network& network, std::uint64_t max_followed_at_once) {
+    network.stop_losses();
+    const auto bytes_before = network.bytes_sent();
+    network.run(kMeasuredTime);
+    const Time interval = simulation::ReplicaSettings().compare_interval;
+    const auto rounds = static_cast<std::uint64_t>(kMeasuredTime / interval) + 1;
+    const auto comparisons = rounds * network.nodes().size() + max_followed_at_once;
+    EXPECT_LE(network.bytes_sent() - bytes_before, comparisons * max_bytes_per_comparison(network));
+  }
+  static void expect_reported_once(Network& network, Bound bound) {
+    for (auto& [name, node] : network.nodes()) {
+      EXPECT_EQ(node.bound_reports[bound], 1U) << name << ": logged once";
+    }
+  }
+};
+
+// Guards against full sets that are answered by full sets without end.
+TEST_F(ReplicasAtBound, OfBansExchangeThemOnceAComparison) {
+  Network network(5, 2);
+  separate(network);
+  for (std::size_t i = 0; i < kMaxBans; ++i) {
+    network.ban("r0", "a-" + std::to_string(i));
+    network.ban("r1", "b-" + std::to_string(i));
+  }
+  expect_bounded_traffic(network, 0);
+  expect_reported_once(network, Bound::bans);
+  for (auto& [name, node] : network.nodes()) {
+    EXPECT_EQ(node.replica->counters().bounds_reached, 1U);
+    EXPECT_TRUE(node.replica->reached_bounds().contains(Bound::bans));
+  }
+  for (std::size_t i = 0; i < kMaxBans; ++i) network.lift("r0", "a-" + std::to_string(i));
+  ASSERT_TRUE(network.run_until([&] { return network.all_equal(); }, 5 * kSecond))
+      << "once there is room";
+}
+
+BanSet changes_of_authors(const std::string& name, std::size_t count) {
+  return BanSet::decode(seen_changes::encode_of_authors(name, count)).value();
+}
+
+BanSet changes_beyond_a_gap(const std::string& name, std::size_t count) {
+  return BanSet::decode(seen_changes::encode_beyond_a_gap(name, count)).value();
+}
+
+TEST_F(ReplicasAtBound, OfAuthorsExchangeBansOnceAComparison) {
+  Network network(6, 2);
+  separate(network);
+  load_stored(network, "r0", changes_of_authors("a", kMaxAuthors));
+  load_stored(network, "r1", changes_of_authors("b", kMaxAuthors));
+  expect_bounded_traffic(network, 0);
+  expect_reported_once(network, Bound::authors);
+}
+
+// Guards against a ban that holds at one router and is silently not replicated.
+TEST_F(ReplicasAtBound, OfAuthorsReportABanThatCannotBeReplicated) {
+  Network network(8, 2);
+  network.run(4 * kSecond);
+  load_stored(network, "r0", changes_of_authors("a", kMaxAuthors));
+  EXPECT_FALSE(network.replica("r0").has_room_for_ban());
+  network.ban("r0", "s-1");
+  EXPECT_TRUE(network.node("r0").refused_bans.contains("s-1"));
+  EXPECT_EQ(network.replica("r0").counters().bans_refused, 1U);
+  network.ban("r1", "s-1");
+  EXPECT_TRUE(network.node("r1").refused_bans.empty());
+}
+
+TEST_F(ReplicasAtBound, OfChangesBeyondAGapExchangeBansOnceAComparison) {
+  Network network(7, 2);
+  separate(network);
+  load_stored(network, "r0", changes_beyond_a_gap("a", kMaxDetachedDots));
+  load_stored(network, "r1", changes_beyond_a_gap("b", kMaxDetachedDots));
+  expect_bounded_traffic(network, 0);
+  expect_reported_once(network, Bound::detached_dots);
+}
+
+TEST_F(ReplicasAtBound, OfFloorsFoldThemAndBecomeEqual) {
+  for (std::uint64_t seed = 1; seed <= 20 * exploration_factor(); ++seed) {
+    Network network(seed, 2, kFloorsHeld);
+    separate(network);
+    for (std::uint64_t i = 0; i < 2 * kFloorsHeld; ++i) {
+      network.run(1000);
+      network.purge(replica_name(network.draw(2)), network.draw(4 * kFloorsHeld));
+    }
+    constexpr std::uint64_t kMaxFollowedAtOnce = 4;
+    expect_bounded_traffic(network, kMaxFollowedAtOnce);
+    EXPECT_TRUE(network.all_equal()) << "seed " << seed;
+  }
+}
+
+// Any mixture of states near the bounds: the traffic stays bounded all the same.
+TEST_F(ReplicasAtBound, SendBoundedTrafficAfterAnySchedule) {
+  for (std::uint64_t seed = 1; seed <= 6 * exploration_factor(); ++seed) {
+    Network network(seed, 2 + seed % 2, kFloorsHeld);
+    separate(network);
+    for (auto& [name, node] : network.nodes()) {
+      const auto kind = network.draw(3);
+      if (kind == 0) {
+        load_stored(network, name, changes_of_authors(name, kMaxAuthors - network.draw(3)));
+      } else if (kind == 1) {
+        const auto count = kMaxDetachedDots - network.draw(3);
+        load_stored(network, name, changes_beyond_a_gap("gap-" + name, count));
+      }
+      const std::size_t bans = network.draw(2) == 0 ? kMaxBans - network.draw(3) : network.draw(20);
+      for (std::size_t i = 0; i < bans; ++i) network.ban(name, name + "-" + std::to_string(i));
+      for (std::size_t i = 0; i < kFloorsHeld; ++i) network.purge(name, network.draw(100));
+    }
+    constexpr std::uint64_t kMaxFollowedAtOnce = 12;
+    expect_bounded_traffic(network, kMaxFollowedAtOnce);
+    ASSERT_FALSE(HasFailure()) << "seed " << seed;
+  }
+}
+
+}  // namespace
--- a/tests/replication/replicated_test.cpp
+++ b/tests/replication/replicated_test.cpp
@@ -1,7 +1,7 @@
 // Operators' bans and purges replicated by several processes of the program, with faults injected
 // between them, judged by what the stand-in caches receive and by each process's own view.
 #include "consensus/router_fleet.h"
-#include "msgpack_codec/writer.h"
+#include "replication/seen_changes.h"
 #include "store/state_file.h"
 
 namespace {
@@ -204,25 +204,15 @@
   cluster->lie(3, kNoFault);
 }
 
-// A file of bans whose changes were made by as many authors as it can hold.
-std::string bans_at_the_bound_on_authors() {
-  constexpr std::size_t kMaxAuthors = 4096;
-  alderspur::msgpack_codec::Writer bytes;
-  bytes.array(3).array(0).array(kMaxAuthors);
-  for (std::size_t epoch = 1; epoch <= kMaxAuthors; ++epoch) {
-    bytes.array(3).text("router").number(epoch).number(1);
-  }
-  bytes.array(0);
-  return bytes.str();
-}
-
 // Guards against a yes for a ban that the other routers never hear of.
 TEST_F(ReplicatedProcesses, SaysWhenABanHoldsAtOneRouterOnly) {
   ASSERT_NO_FATAL_FAILURE(begin(2));
   for (const auto i : cluster->all()) cluster->kill(i);
+  const auto stored =
+      seen_changes::encode_of_authors("router", alderspur::replication::kMaxAuthors);
   for (const std::size_t i : {0, 1}) {
     const auto path = cluster->state(i) + "/replica.bans";
-    ASSERT_FALSE(alderspur::store::replace_file(path, bans_at_the_bound_on_authors()));
+    ASSERT_FALSE(alderspur::store::replace_file(path, stored));
   }
   cluster->start_all();
   ASSERT_TRUE(cluster->until([&] { return cluster->whole(cluster->all()) && all_caught_up(); }));
--- a/tests/replication/simulated_replicas.h
+++ b/tests/replication/simulated_replicas.h
@@ -23,6 +23,7 @@
 using alderspur::replication::Author;
 using alderspur::replication::BanRequested;
 using alderspur::replication::BanSet;
+using alderspur::replication::BansLoaded;
 using alderspur::replication::Bound;
 using alderspur::replication::ClockRead;
 using alderspur::replication::Event;
@@ -213,4 +214,9 @@
   std::uint64_t bytes_sent_ = 0;
 };
 
+/// What an earlier process of that replica stored.
+inline void load_stored(Network& network, const std::string& name, const BanSet& bans) {
+  network.deliver(name, BansLoaded{bans});
+}
+
 }  // namespace simulation
