--- a/tests/consensus/mangled_messages_test.cpp
+++ b/tests/consensus/mangled_messages_test.cpp
@@ -1,9 +1,11 @@
 // What a router does with mangled messages of consensus and stored state: none is decoded in part.
 #include <gtest/gtest.h>
 
+#include <fstream>
+#include <set>
+
 #include "consensus/applied_state.h"
 #include "consensus/messages.h"
-#include "consensus/persisted_state.h"
 #include "support/mangled_frames.h"
 #include "support/test_data.h"
 
--- a/tests/soak/cache_servers.cpp
+++ b/tests/soak/cache_servers.cpp
@@ -18,10 +18,6 @@
 /// A copy's age is measured in whole milliseconds by three clocks readings.
 constexpr Time kAgeTolerance = 5 * kMillisecond;
 
-bool has(const CacheCommand& command, const std::string& field) {
-  return !command.fields.contains(field) ? false : !command.fields.at(field).empty();
-}
-
 }  // namespace
 
 bool is_large(const std::string& object) { return !object.empty() && object.back() == 'f'; }
@@ -113,10 +109,11 @@
   if (purge == purges_.end() || times.previous <= purge->second.from) return;
   if (times.now > purge->second.purged_at + kPurgePropagationTime) return;
   const Time oldest = times.now - purge->second.purged_at + kAgeTolerance;
-  const bool is_limited = has(command, "agelim");
-  if (is_limited && std::stoll(command.fields.at("agelim")) * kMillisecond <= oldest) return;
+  const auto limit = command.fields.find("agelim");
+  const bool is_limited = limit != command.fields.end() && !limit->second.empty();
+  if (is_limited && std::stoll(limit->second) * kMillisecond <= oldest) return;
   violations_.add(times.now, "a copy of " + name->second + " from before its purge would do" +
-                                 (is_limited ? ": agelim " + command.fields.at("agelim") : ""));
+                                 (is_limited ? ": agelim " + limit->second : ""));
 }
 
 void CacheServers::answer_due(Time now) {
--- a/tests/soak/cache_servers.h
+++ b/tests/soak/cache_servers.h
@@ -11,12 +11,12 @@
 #include <string>
 #include <vector>
 
+#include "soak/schedule.h"
 #include "soak/violations.h"
 #include "support/fake_cache.h"
 
 namespace soak {
 
-constexpr std::size_t kCacheCount = 3;
 /// The answers with these objects are large.
 constexpr std::size_t kLargeBodyBytes = 200'000;
 /// Sends to a draining cache must end within this time, as the runs' settings say.
--- a/tests/soak/clients.h
+++ b/tests/soak/clients.h
@@ -50,7 +50,6 @@
   void on_process_killed(Time at) { killed_at_ = at; }
   /// Opens idle connections until the router's descriptors are used up.
   void open_crowd(std::size_t size);
-  void close_crowd() { crowd_.clear(); }
   void close_all();
   bool has_open_requests() const;
   const Counts& counts() const { return counts_; }
--- a/tests/soak/discovery_server.cpp
+++ b/tests/soak/discovery_server.cpp
@@ -60,11 +60,10 @@
   }
 }
 
-std::uint64_t DiscoveryServer::add_event(const std::string& fields) {
+void DiscoveryServer::add_event(const std::string& fields) {
   const std::uint64_t number = events_.size() + 1;
   events_.push_back("{\"rev\":" + std::to_string(number) + "," + fields + "}");
   added_at_.push_back(alderspur::net::unix_now());
-  return number;
 }
 
 std::string DiscoveryServer::known() const {
--- a/tests/soak/discovery_server.h
+++ b/tests/soak/discovery_server.h
@@ -22,8 +22,8 @@
   DiscoveryServer& operator=(const DiscoveryServer&) = delete;
 
   std::string address(std::size_t which) const;
-  /// Takes the fields of an event without its number; returns the number.
-  std::uint64_t add_event(const std::string& fields);
+  /// Takes the fields of an event without its number.
+  void add_event(const std::string& fields);
   /// All events, in the form of a configuration's `known`.
   std::string known() const;
   void set_fault(DiscoveryFault fault);
--- a/tests/soak/run.cpp
+++ b/tests/soak/run.cpp
@@ -19,7 +19,6 @@
 /// SIGKILL comes no earlier than the longest deadline and this after SIGTERM.
 constexpr Time kKillMargin = 700 * kMillisecond;
 constexpr Time kKillTime = kRequestTimeout + kKillMargin;
-constexpr Time kTimeBefore = 300 * kMillisecond;  // for steps before a restart
 constexpr Time kSteadyTime = 500 * kMillisecond;
 constexpr Time kReplacementReadyLimit = 6 * kSecond;
 constexpr Time kRestartReadyLimit = 10 * kSecond;
@@ -246,13 +245,13 @@
 }
 
 void Run::play_steps_before(const Restart& restart) {
-  const Time begins_at = net::unix_now() + kTimeBefore;
+  const Time begins_at = net::unix_now() + kTimeBeforeRestart;
   run_until(
       [&] {
         play_due_steps(restart, begins_at);
         return times_.now >= begins_at;
       },
-      kTimeBefore);
+      kTimeBeforeRestart);
 }
 
 void Run::play_planned(const Restart& restart) {
@@ -292,6 +291,7 @@
   const Time signalled_at = net::unix_now();
   const Time kill_at = signalled_at + kKillTime;
   Process& old = processes_.front();
+  old.is_ending = true;
   old.program->send_signal(SIGTERM);
   run_until(
       [&] {
@@ -329,9 +329,8 @@
       for (int i = 0; i < kBurstReloads; ++i) reload_all();
       return;
     case Step::Kind::terminate_again:
-      if (next_step_ > 0 && step.after > 0 && processes_.size() > 0) {
-        processes_.front().program->send_signal(SIGTERM);
-      }
+      // Only where a first one was sent: otherwise it would end the process that is to go on.
+      if (processes_.front().is_ending) processes_.front().program->send_signal(SIGTERM);
       return;
     case Step::Kind::reset_caches:
       return caches_.reset_connections(step.cache);
--- a/tests/soak/run.h
+++ b/tests/soak/run.h
@@ -40,6 +40,7 @@
     sockaddr_in operators{};
     std::string log;
     bool is_ready = false;
+    bool is_ending = false;  // SIGTERM was sent
   };
   /// An operator's call that waits for its reply.
   struct Call {
--- a/tests/soak/schedule.cpp
+++ b/tests/soak/schedule.cpp
@@ -12,7 +12,6 @@
 // Clients connect for 0.2 to 0.4 s after SIGTERM, as the protocol's page says.
 constexpr Time kMinConnectTime = 200 * kMillisecond;
 constexpr Time kMaxConnectTime = 400 * kMillisecond;
-constexpr Time kFirstStep = -300 * kMillisecond;  // before a restart
 constexpr Time kLastStep = 3'500 * kMillisecond;  // after it began
 constexpr Time kCloseStep = 150 * kMillisecond;   // steps around the signal itself
 
@@ -41,10 +40,10 @@
 Step draw_step(Drawer& drawer) {
   Step step;
   step.kind = draw_kind(drawer);
-  step.cache = drawer.below(3);
+  step.cache = drawer.below(kCacheCount);
   const bool is_close = drawer.one_in(2);
-  step.after =
-      is_close ? drawer.between(-kCloseStep, kCloseStep) : drawer.between(kFirstStep, kLastStep);
+  step.after = is_close ? drawer.between(-kCloseStep, kCloseStep)
+                        : drawer.between(-kTimeBeforeRestart, kLastStep);
   return step;
 }
 
--- a/tests/soak/schedule.h
+++ b/tests/soak/schedule.h
@@ -10,6 +10,10 @@
 
 namespace soak {
 
+constexpr std::size_t kCacheCount = 3;  // in each run
+/// Steps begin so long before a restart at the earliest.
+constexpr Time kTimeBeforeRestart = 300 * kMillisecond;
+
 /// How a process ends and another one takes its place.
 enum class RestartKind {
   planned,      // SIGTERM, SIGKILL at the earliest time that the page allows, then a new process
