--- a/src/xds/eds.cpp
+++ b/src/xds/eds.cpp
@@ -20,9 +20,9 @@
 
 // ---- Requests ----
 
-/// The member as text; empty where it is absent or no string.
+/// The member as text, of a well-formed request; empty where it is absent.
 std::string_view text_member(const rapidjson::Document& document, const char* name) {
-  if (!document.HasMember(name) || !document[name].IsString()) return {};
+  if (!document.HasMember(name)) return {};
   return {document[name].GetString(), document[name].GetStringLength()};
 }
 
