Keep signals blocked once the event loop has ended, SIGINT among them

What callers saw: a SIGHUP, SIGUSR1, SIGINT or second SIGTERM in the last steps of a shutdown ended both programs by that signal in place of 0, and cut off the last lines of the log and the last saves. SIGINT also killed a program that was still starting. Cause: Loop::run unblocked the signals and never blocked them again, and Loop::~Loop stops their watchers, which restores the default action; SIGINT was never held. Change: run() restores the caller's signal mask when the loop ends, hold_signals() holds SIGINT too.

--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -34,7 +34,7 @@
 sigset_t held_signals() {
   sigset_t signals;
   sigemptyset(&signals);
-  for (const int number : {SIGTERM, SIGHUP, SIGUSR1}) sigaddset(&signals, number);
+  for (const int number : {SIGTERM, SIGHUP, SIGINT, SIGUSR1}) sigaddset(&signals, number);
   return signals;
 }
 
@@ -125,10 +125,14 @@
   signals_.push_back(std::move(signal));
 }
 
+// The destructor restores the default actions of the signals, most of which end the process. The
+// signals must therefore be blocked again before the rest of the shutdown.
 void Loop::run() {
   const auto signals = held_signals();
-  pthread_sigmask(SIG_UNBLOCK, &signals, nullptr);
+  sigset_t previous_mask;
+  pthread_sigmask(SIG_UNBLOCK, &signals, &previous_mask);
   ev_run(loop_, 0);
+  pthread_sigmask(SIG_SETMASK, &previous_mask, nullptr);
 }
 
 void Loop::stop() { ev_break(loop_, EVBREAK_ALL); }
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -40,9 +40,10 @@
 
 class Lingering;
 
-/// Blocks SIGTERM, SIGHUP and SIGUSR1 until Loop::run() unblocks them. Signals that arrive
-/// meanwhile are handled in the first turn of the loop. Must be called before the program starts
-/// threads, because they inherit the signal mask.
+/// Blocks SIGTERM, SIGHUP, SIGINT and SIGUSR1 except while Loop::run() runs. Signals that arrive
+/// earlier are handled in the first turn of the loop; signals that arrive after the loop has ended
+/// have no effect. Must be called before the program starts threads, because they inherit the
+/// signal mask.
 void hold_signals();
 
 /// The event loop: waits for descriptors, signals and deadlines, and calls their handlers.
@@ -64,7 +65,8 @@
   void on_turn(std::function<void()> callback) { turn_callback_ = std::move(callback); }
   /// Calls `callback` on the loop's thread whenever the signal `number` arrives.
   void on_signal(int number, std::function<void()> callback);
-  /// Performs turns until stop() is called.
+  /// Performs turns until stop() is called. The signals that hold_signals() blocks are delivered
+  /// only meanwhile: run() restores the caller's signal mask before it returns.
   void run();
   /// Ends run() after the current turn.
   void stop();
--- a/tests/shutdown_test.cpp
+++ b/tests/shutdown_test.cpp
@@ -234,8 +234,8 @@
   ::close(listener);
 }
 
-// A known failure (KNOWN-RED.txt). When the event loop ends, it restores the default action of
-// SIGHUP, so a reload that arrives during the last steps of a shutdown kills the process.
+// Guards against a reload that kills the process because it arrives during the last steps of a
+// shutdown, when the event loop has restored the default action of SIGHUP.
 TEST_F(ShutdownTest, ExitsWithZeroWhenSighupArrivesAfterTheEndOfTheEventLoop) {
   start(config_with(cache));
   program->send_signal(SIGTERM);
--- a/tests/support/router_process.h
+++ b/tests/support/router_process.h
@@ -1,4 +1,5 @@
-// Runs the program edge_router as a separate process for tests, and builds its configuration.
+// Runs the program edge_router, or `alderspur run`, as a separate process for tests, and builds its
+// configuration.
 #pragma once
 
 #include <poll.h>
@@ -19,16 +20,19 @@
 
 namespace loopback {
 
-/// A running edge_router with a temporary folder for its configuration. The destructor kills the
+/// A running router with a temporary folder for its configuration. The destructor kills the
 /// process.
 class RouterProcess {
  public:
   /// `shared_directory` is the directory that the processes of a hot restart share, and
   /// `operators_address` the address for operators' calls; an empty value leaves out either. With
   /// `is_config_piped`, the process reads its configuration from a pipe, and its start waits for
-  /// configure_with().
+  /// configure_with(). If `settings` is not empty, the program is `alderspur run` with this
+  /// settings file, in which the configuration has the path "config.json"; otherwise it is
+  /// edge_router.
   explicit RouterProcess(const std::string& config, const std::string& shared_directory = {},
-                         const std::string& operators_address = {}, bool is_config_piped = false) {
+                         const std::string& operators_address = {}, bool is_config_piped = false,
+                         const std::string& settings = {}) {
     char name[] = "/tmp/alderspur-test-XXXXXX";
     folder_ = ::mkdtemp(name);
     if (is_config_piped) {
@@ -36,6 +40,8 @@
     } else {
       configure(config);
     }
+    const std::string settings_path = folder_ + "/settings.toml";
+    if (!settings.empty()) std::ofstream(settings_path) << settings;
     int log_pipe[2];
     EXPECT_EQ(::pipe(log_pipe), 0);
     pid_ = ::fork();
@@ -48,7 +54,12 @@
       if (!operators_address.empty()) {
         ::setenv("RELAY_OPERATOR", operators_address.c_str(), 1);
       }
-      ::execl(test_paths::kEdgeRouter, test_paths::kEdgeRouter, nullptr);
+      if (settings.empty()) {
+        ::execl(test_paths::kEdgeRouter, test_paths::kEdgeRouter, nullptr);
+      } else {
+        ::execl(test_paths::kProgram, test_paths::kProgram, "run", "--settings",
+                settings_path.c_str(), nullptr);
+      }
       ::_exit(99);
     }
     ::close(log_pipe[1]);
@@ -64,6 +75,13 @@
   }
   /// Replaces the content of the configuration file.
   void configure(const std::string& config) { std::ofstream(folder_ + "/config.json") << config; }
+  /// Replaces the configuration file by a new one. A process that has opened the old one, or the
+  /// pipe, continues to read from that.
+  void replace_configuration(const std::string& config) {
+    const std::string new_path = folder_ + "/config.json.new";
+    std::ofstream(new_path) << config;
+    std::filesystem::rename(new_path, folder_ + "/config.json");
+  }
   /// Sends the configuration through the pipe. Calls `before_write` once the program has opened the
   /// pipe, before it can read anything.
   void configure_with(const std::function<void()>& before_write, const std::string& config) {
@@ -98,6 +116,18 @@
     EXPECT_TRUE(address) << line;
     return address.value_or(sockaddr_in{});
   }
+  /// Reads the log up to the line that contains `announcement`, and returns the address that
+  /// follows it.
+  sockaddr_in wait_for_address_after(const std::string& announcement) {
+    std::string line = read_log_line();
+    while (!line.empty() && line.find(announcement) == std::string::npos) line = read_log_line();
+    const auto begin = line.find(announcement) + announcement.size();
+    EXPECT_FALSE(line.empty()) << "the log ended before '" << announcement << "'";
+    const auto text = line.empty() ? line : line.substr(begin, line.find('"', begin) - begin);
+    const auto address = net::parse_address(text);
+    EXPECT_TRUE(address) << line;
+    return address.value_or(sockaddr_in{});
+  }
   bool has_exited() {
     if (pid_ <= 0) return true;
     siginfo_t info{};
@@ -119,6 +149,7 @@
     statm >> size >> pages;
     return pages * static_cast<std::size_t>(::sysconf(_SC_PAGESIZE));
   }
+  pid_t id() const { return pid_; }
   void send_signal(int number) { ::kill(pid_, number); }
   /// Suspends the process and returns once it has stopped. All input that arrives in the meantime
   /// is ready when the process continues.
