Continue a router's author after an orderly end, so that restarts add no authors

Cause: each start was a new author in the causal context, and an author cannot be forgotten: an old copy would bring lifted bans back, and a mark "all of an epoch is lifted" loses a ban that only a cut-off router holds. Change: a process that ends in order writes its last own change and its epoch into replica.bans, after its last frame. The next process continues that author if the epoch is the previous one of the file `epoch`, which is synced at each start before anything is sent; so the record serves one start. A replica that sees later changes of its author repeats its bans as a new one. Why it works: only a process that knows each dot of the author continues it, so no dot is given twice and nothing needs to be forgotten. A ban is sent in the same turn as before; the exit has one more write, 200 ms at most.

--- a/src/cluster/epoch.cpp
+++ b/src/cluster/epoch.cpp
@@ -27,6 +27,7 @@
   const auto loaded = store::load_file(path, kMaxFileSize);
   if (const auto stored = parse_epoch(loaded.payload)) {
     result.epoch = std::max(result.epoch, *stored + 1);
+    result.previous = stored;
     return;
   }
   if (loaded.is_absent) return;
@@ -52,6 +53,7 @@
   const auto write_error =
       store::replace_file(path, std::string(kFormat) + std::to_string(result.epoch));
   if (write_error) {
+    result.previous.reset();
     result.error = EpochError::not_written;
     result.reason = to_string(*write_error);
   }
--- a/src/cluster/epoch.h
+++ b/src/cluster/epoch.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 
 #include "core/deadlines.h"
@@ -23,6 +24,9 @@
   /// If the stored epoch could not be read, this is derived from the clock alone. It is then less
   /// than an earlier epoch if the clock was set back in between.
   std::uint64_t epoch = 0;
+  /// The epoch of the previous start; nothing if there was none or an error occurred. If it is set,
+  /// no later start has the same previous epoch.
+  std::optional<std::uint64_t> previous;
   EpochError error = EpochError::none;
   std::string reason;  // for the log; empty if there is no error
 };
--- a/src/control/cluster_service.cpp
+++ b/src/control/cluster_service.cpp
@@ -30,10 +30,17 @@
   return secret;
 }
 
-/// Returns the identity of this member with a new epoch. If the stored epoch cannot be used, logs
-/// the reason.
-cluster::Identity make_identity(const settings::Cluster& settings, const std::string& router_name,
-                                log::Log& log) {
+/// Starts a new epoch. If the stored epoch cannot be used, logs the reason.
+cluster::EpochResult start_epoch(const settings::Cluster& settings, log::Log& log) {
+  auto epoch = cluster::next_epoch(settings.state_directory, net::unix_now());
+  if (epoch.error != cluster::EpochError::none) {
+    log.record(kLogModule, log::Level::warning, "epoch_unusable", {{"reason", epoch.reason}});
+  }
+  return epoch;
+}
+
+/// Returns the identity of this member, without its epoch.
+cluster::Identity make_identity(const settings::Cluster& settings, const std::string& router_name) {
   cluster::Identity self;
   self.name = settings.member_name.empty() ? router_name : settings.member_name;
   self.point = settings.location;
@@ -42,11 +49,6 @@
   if (self.name.empty()) {
     throw config::Error("this router has no member name in the cluster: set member in [cluster]");
   }
-  const auto epoch = cluster::next_epoch(settings.state_directory, net::unix_now());
-  self.epoch = epoch.epoch;
-  if (epoch.error != cluster::EpochError::none) {
-    log.record(kLogModule, log::Level::warning, "epoch_unusable", {{"reason", epoch.reason}});
-  }
   return self;
 }
 
@@ -61,7 +63,10 @@
                                log::Log& log)
     : router_(router), log_(log) {
   std::string secret = read_secret(settings.secret_file);
-  const cluster::Identity self = make_identity(settings, router.config().name, log);
+  cluster::Identity self = make_identity(settings, router.config().name);
+  const auto epoch = start_epoch(settings, log);
+  self.epoch = epoch.epoch;
+  previous_epoch_ = epoch.previous;
   create_transport(settings, std::move(secret), self);
   log.record(kLogModule, log::Level::info, "listening",
              {{"address", net::to_string(transport_->address())}, {"name", self.name}});
--- a/src/control/cluster_service.h
+++ b/src/control/cluster_service.h
@@ -7,6 +7,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -47,6 +48,9 @@
   /// Returns the transport, which provides the membership and the address of this member.
   const cluster_transport::ClusterTransport& transport() const { return *transport_; }
 
+  /// Returns the epoch of this router's previous start; nothing if it is not known.
+  std::optional<std::uint64_t> previous_epoch() const { return previous_epoch_; }
+
   /// Sends a consensus frame to the member `to`. Delivery is not guaranteed, and a loss is not
   /// reported.
   void send_consensus_frame(const std::string& to, std::string_view frame) {
@@ -84,6 +88,7 @@
   FrameHandler replication_handler_;
   std::vector<MembersHandler> members_handlers_;
   ViewExtension view_extension_;
+  std::optional<std::uint64_t> previous_epoch_;
   std::unique_ptr<cluster_transport::ClusterTransport> transport_;
 };
 
--- a/src/control/replication_service.cpp
+++ b/src/control/replication_service.cpp
@@ -2,9 +2,11 @@
 
 #include <algorithm>
 #include <chrono>
+#include <future>
 #include <random>
 #include <utility>
 
+#include "replication/stored_bans.h"
 #include "store/state_file.h"
 
 namespace alderspur::control {
@@ -20,6 +22,7 @@
 constexpr core::Time kMinTickDelay = 1'000;
 constexpr core::Time kMicrosecondsPerMillisecond = 1'000;
 constexpr std::chrono::milliseconds kStopTimeout(200);
+constexpr std::chrono::milliseconds kFinalSaveTimeout(200);
 
 std::string file_path(const std::string& state_folder) {
   return state_folder.empty() ? std::string() : state_folder + "/replica.bans";
@@ -42,6 +45,7 @@
       wakeup_(router.loop()) {
   replication::ReplicaSettings replica_settings;
   const auto& self = cluster.transport().membership().self();
+  epoch_ = self.epoch;
   replica_settings.self = {self.name, self.epoch};
   replica_ = std::make_unique<replication::Replica>(replica_settings, random_seed());
   subscribe_to_router();
@@ -57,7 +61,10 @@
   if (tick_timer_) router_.deadlines().cancel(*tick_timer_);
 }
 
-bool ReplicationService::stop_worker() { return writer_.stop(kStopTimeout); }
+bool ReplicationService::stop_worker() {
+  save_final_state();
+  return writer_.stop(kStopTimeout);
+}
 
 void ReplicationService::subscribe_to_router() {
   router_.on_ban([this](const hot_restart::BanChange& change) { handle_local_ban(change); });
@@ -98,7 +105,9 @@
 // without it, bans that are still wanted would be lost.
 void ReplicationService::start_replica(const std::optional<std::string>& stored_payload,
                                        const std::string& error) {
-  const auto stored = stored_payload ? replication::BanSet::decode(*stored_payload) : std::nullopt;
+  const auto stored =
+      stored_payload ? replication::decode_stored_bans(*stored_payload, cluster_.previous_epoch())
+                     : std::nullopt;
   if (!error.empty() || (stored_payload && !stored)) {
     log_.record(kLogModule, log::Level::warning, "not_read",
                 {{"reason", error.empty() ? "the file does not contain a valid ban set" : error}});
@@ -181,6 +190,9 @@
     log_.record(kLogModule, log::Level::warning, "time_too_far_ahead",
                 {{"from", skew->from.empty() ? "this router" : skew->from},
                  {"ahead_ms", skew->ahead / kMicrosecondsPerMillisecond}});
+  } else if (std::holds_alternative<replication::ReportOutdatedBans>(action)) {
+    log_.record(kLogModule, log::Level::warning, "stored_bans_outdated",
+                {{"effect", "the bans made since the start are replicated again"}});
   } else if (const auto* report = std::get_if<replication::ReportBound>(&action)) {
     log_.record(kLogModule, log::Level::warning, "bound_reached",
                 {{"bound", to_string(report->bound)}});
@@ -242,6 +254,19 @@
   save();  // writes the changes made during the write, if there are any
 }
 
+// No frame leaves the router any more, so the file may name the last own change. If the disk does
+// not respond in time, the next process becomes a new author.
+void ReplicationService::save_final_state() {
+  if (path_.empty() || !has_started_) return;
+  const auto written = std::make_shared<std::promise<void>>();
+  const auto payload = replication::encode_final_bans(replica_->bans(), epoch_);
+  writer_.submit([path = path_, payload, written] {
+    (void)store::replace_file(path, payload);
+    written->set_value();
+  });
+  written->get_future().wait_for(kFinalSaveTimeout);
+}
+
 void ReplicationService::write_view(json::Writer& writer) const {
   const auto& counters = replica_->counters();
   writer.Key("replica");
--- a/src/control/replication_service.h
+++ b/src/control/replication_service.h
@@ -35,8 +35,9 @@
   ReplicationService(const ReplicationService&) = delete;
   ReplicationService& operator=(const ReplicationService&) = delete;
 
-  /// Stops the worker and waits a short time for it. Returns false if the worker is still blocked
-  /// on its disk; then only _exit() can end the process.
+  /// Stores the bans for the last time, stops the worker and waits a short time for both. Call this
+  /// after the event loop has ended. Returns false if the worker is still blocked on its disk; then
+  /// only _exit() can end the process.
   bool stop_worker();
 
  private:
@@ -58,6 +59,7 @@
   bool may_have_copies_from_before(core::Time purged_at) const;
   void schedule_tick();
   void save();
+  void save_final_state();
   void finish_save(std::uint64_t digest, const std::optional<store::FileError>& error);
   void write_view(json::Writer& writer) const;
 
@@ -66,6 +68,7 @@
   log::Log& log_;
   const std::string path_;  // of the file; empty if bans are not stored
   const core::Time purge_propagation_time_;
+  std::uint64_t epoch_ = 0;  // of this process
   std::unique_ptr<replication::Replica> replica_;
   std::vector<std::string> peers_;
   std::vector<hot_restart::BanChange> pending_changes_;  // requested before the file was read
--- a/src/replication/ban_set.cpp
+++ b/src/replication/ban_set.cpp
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <utility>
 
-#include "msgpack_codec/document.h"
 #include "msgpack_codec/reader.h"
 #include "msgpack_codec/writer.h"
 #include "replication/digest.h"
@@ -17,7 +16,6 @@
 
 constexpr std::uint64_t kMaxTime = std::uint64_t{1} << 62;  // Unix time, microseconds
 // Numbers of array elements.
-constexpr std::size_t kBanSetFields = 3;
 constexpr std::size_t kBanFields = 6;
 constexpr std::size_t kDotFields = 3;
 
@@ -73,25 +71,44 @@
   return bans_.erase(position);
 }
 
+Dot BanSet::next_dot(const Author& author) const {
+  if (last_own_change_ && last_own_change_->author.name == author.name) {
+    const auto& [own_author, sequence] = *last_own_change_;
+    // A later change of the same author means that this copy was restored from an outdated file.
+    if (context_.last_received(own_author) == sequence) return {own_author, sequence + 1};
+  }
+  return {author, context_.last_received(author) + 1};
+}
+
 bool BanSet::has_room_for(const Author& author) const {
-  return bans_.size() < kMaxBans && context_.has_room_for(author);
+  return bans_.size() < kMaxBans && context_.has_room_for(next_dot(author).author);
 }
 
-BanSet BanSet::add(const Author& author, const Ban& ban) {
-  BanSet delta;
-  if (!has_room_for(author)) return delta;
-  const bool is_known = std::any_of(bans_.begin(), bans_.end(), [&](const auto& entry) {
-    return entry.first.author == author && entry.second.server == ban.server;
+bool BanSet::is_banned_by(const Author& author, std::string_view server) const {
+  return std::any_of(bans_.begin(), bans_.end(), [&](const auto& entry) {
+    return entry.first.author == author && entry.second.server == server;
   });
-  if (is_known) return delta;
-  const Dot dot{author, context_.last_contiguous(author) + 1};
-  (void)context_.add(dot);  // cannot fail: the dot leaves no gap, and the capacity was checked
-  insert(dot, ban);
-  delta.insert(dot, ban);
+}
+
+BanSet BanSet::add_change(const Dot& dot, const std::optional<Ban>& ban) {
+  BanSet delta;
+  (void)context_.add(dot);
   (void)delta.context_.add(dot);
+  if (ban) {
+    insert(dot, *ban);
+    delta.insert(dot, *ban);
+  }
+  last_own_change_ = dot;
   return delta;
 }
 
+BanSet BanSet::add(const Author& author, const Ban& ban) {
+  if (!has_room_for(author)) return {};
+  const Dot dot = next_dot(author);
+  if (is_banned_by(dot.author, ban.server)) return {};
+  return add_change(dot, ban);
+}
+
 BanSet BanSet::lift(std::string_view server) {
   // The delta contains the dots in its context only, not the bans. Each copy that joins the delta
   // therefore removes the bans.
@@ -160,7 +177,13 @@
 
 std::string BanSet::encode() const {
   Writer writer;
-  writer.array(kBanSetFields).array(bans_.size());
+  writer.array(kElements);
+  write(writer);
+  return writer.str();
+}
+
+void BanSet::write(Writer& writer) const {
+  writer.array(bans_.size());
   for (const auto& [dot, ban] : bans_) {
     writer.array(kBanFields);
     write_dot(writer, dot);
@@ -176,14 +199,14 @@
     writer.array(kDotFields);
     write_dot(writer, dot);
   }
-  return writer.str();
 }
 
 std::optional<BanSet> BanSet::decode(std::string_view bytes) {
   if (bytes.size() > kMaxEncodedBans) return std::nullopt;
-  const Document document(bytes);
-  if (!document.is_valid()) return std::nullopt;
-  Reader reader(document.root(), kBanSetFields);
+  return msgpack_codec::decode_array(bytes, kElements, &BanSet::read);
+}
+
+BanSet BanSet::read(Reader& reader) {
   BanSet decoded;
   for (const auto& [dot, ban] : reader.records(kMaxBans, kBanFields, read_dotted_ban)) {
     decoded.insert(dot, ban);
@@ -198,7 +221,6 @@
   for (const auto& [dot, ban] : decoded.bans_) {
     if (!decoded.context_.contains(dot)) reader.fail();
   }
-  if (!reader.ok()) return std::nullopt;
   return decoded;
 }
 
--- a/src/replication/causal_context.h
+++ b/src/replication/causal_context.h
@@ -3,15 +3,19 @@
 // See Almeida, Shoker, Baquero: Delta State Replicated Data Types (2018). The class does no I/O,
 // reads no clock and is not thread-safe.
 //
-// An author is one start of one router, identified by name and epoch, so a router that has lost its
-// disk never reuses a dot. Limits: kMaxAuthors authors and kMaxDetachedDots dots beyond a gap. A
-// dot that exceeds a limit is refused; it can be received again with a full copy.
+// An author is a router, identified by name and an epoch, so a router that has lost its disk never
+// reuses a dot. A router that is certain of all dots of an earlier author may continue that author
+// (see stored_bans.h); otherwise it becomes a new author. Limits: kMaxAuthors authors and
+// kMaxDetachedDots dots beyond a gap. A dot that exceeds a limit is refused; it can be received
+// again with a full copy.
 #pragma once
 
 #include <algorithm>
 #include <compare>
 #include <cstddef>
 #include <cstdint>
+#include <iterator>
+#include <limits>
 #include <map>
 #include <set>
 #include <string>
@@ -21,7 +25,7 @@
 constexpr std::size_t kMaxAuthors = 4096;
 constexpr std::size_t kMaxDetachedDots = 4096;
 
-/// One start of one router.
+/// One router, from one of its starts until it can no longer continue its sequence of dots.
 struct Author {
   std::string name;
   std::uint64_t epoch = 0;
@@ -87,6 +91,14 @@
     return found == contiguous_.end() ? 0 : found->second;
   }
 
+  /// Returns the highest sequence number of a received dot of `author`, also beyond a gap; 0 if
+  /// none was received.
+  std::uint64_t last_received(const Author& author) const {
+    const auto next = detached_.upper_bound({author, std::numeric_limits<std::uint64_t>::max()});
+    const bool has_detached = next != detached_.begin() && std::prev(next)->author == author;
+    return has_detached ? std::prev(next)->sequence : last_contiguous(author);
+  }
+
   const std::map<Author, std::uint64_t>& contiguous() const { return contiguous_; }
   /// Returns the dots received beyond a gap in their author's sequence.
   const std::set<Dot>& detached() const { return detached_; }
--- a/src/replication/replica.cpp
+++ b/src/replication/replica.cpp
@@ -79,7 +79,12 @@
 }
 
 void Replica::on(const BansLoaded& event) {
-  if (accept_time(event.bans.latest_time(), {})) bans_.join(event.bans);
+  if (!accept_time(event.bans.latest_time(), {})) return;
+  bans_.join(event.bans);
+  const auto& last = event.bans.last_own_change();
+  if (!last) return;
+  bans_.set_last_own_change(last);
+  loaded_sequence_ = last->sequence;
 }
 
 // ---- Limits
@@ -167,7 +172,11 @@
 // arrive together, the router receives one ban.
 void Replica::join_bans(const BanSet& theirs) {
   const auto before = bans_.banned_servers();
-  bans_.join(theirs);
+  if (knows_later_own_change(theirs)) {
+    repeat_own_bans_as_new_author(theirs);
+  } else {
+    bans_.join(theirs);
+  }
   for (const auto& server : before) {
     if (!bans_.is_banned(server)) actions_->push_back(SetBan{server, false});
   }
@@ -178,6 +187,25 @@
   }
 }
 
+bool Replica::knows_later_own_change(const BanSet& theirs) const {
+  const auto& last = bans_.last_own_change();
+  return last && theirs.context().last_received(last->author) > last->sequence;
+}
+
+// Joins a set that contains changes which another process of this router has made, with dots that
+// this process may have used for other bans.
+void Replica::repeat_own_bans_as_new_author(const BanSet& theirs) {
+  const Author author = bans_.last_own_change()->author;
+  std::vector<Ban> own_bans;
+  for (const auto& [dot, ban] : bans_.bans()) {
+    if (dot.author == author && dot.sequence > loaded_sequence_) own_bans.push_back(ban);
+  }
+  actions_->push_back(ReportOutdatedBans{});
+  bans_.set_last_own_change(std::nullopt);
+  bans_.join(theirs);
+  for (const auto& ban : own_bans) gossip_bans(bans_.add(settings_.self, ban), {});
+}
+
 // ---- Comparisons
 
 void Replica::on(const Tick& /*event*/) {
--- a/src/replication/replica.h
+++ b/src/replication/replica.h
@@ -15,6 +15,11 @@
 // without replication, or changes never stop, the replica counts as caught up after
 // `catch_up_timeout`, unless a large difference is still being transferred.
 //
+// Authors: the changes made at a router have the author of its earlier processes if these changes
+// are known completely (see stored_bans.h), and otherwise a new one. If a frame shows that they
+// were not, because the router was restored from a backup, the replica becomes a new author and
+// repeats the bans that it has made, since peers may know other changes with the same dots.
+//
 // Clock skew: a frame or a stored set that contains a time further ahead of this router's clock
 // than `max_clock_skew` is rejected as a whole and not forwarded. A floor never decreases, so a
 // floor in the far future would invalidate the copies of an object, or all copies, until that time.
@@ -41,7 +46,7 @@
 
 /// Settings of a replica. Durations are in microseconds.
 struct ReplicaSettings {
-  Author self;  // the author of changes that are made at this router
+  Author self;  // the author of changes made at this router, unless an earlier one is continued
   Time compare_interval = 1'000'000;
   Time catch_up_timeout = 3'000'000;
   std::size_t fanout = 3;  // number of peers to which a change is gossiped
@@ -64,7 +69,8 @@
 struct ClockRead {
   Time unix_now = 0;
 };
-/// The bans that an earlier process of this router stored. It precedes all events but ClockRead.
+/// The bans that an earlier process of this router stored, with its last own change if the author
+/// may be continued. It precedes all events but ClockRead.
 struct BansLoaded {
   BanSet bans;
 };
@@ -129,8 +135,11 @@
 struct ReportBound {
   Bound bound = Bound::bans;
 };
+/// Reports that this process started with outdated stored bans, as a peer knows later changes of
+/// their author. The bans made since the start are repeated.
+struct ReportOutdatedBans {};
 using Action = std::variant<SendFrame, SetBan, ApplyPurge, ApplyGlobalPurge, ReportRefusedBan,
-                            ReportClockSkew, ReportBound>;
+                            ReportClockSkew, ReportBound, ReportOutdatedBans>;
 
 /// Event counts since the start.
 struct ReplicaCounters {
@@ -196,6 +205,8 @@
   void send_differing_ranges(const std::string& to, Time their_global_floor,
                              const RangeDigests& theirs);
   void join_bans(const BanSet& theirs);
+  bool knows_later_own_change(const BanSet& theirs) const;
+  void repeat_own_bans_as_new_author(const BanSet& theirs);
   bool apply_floor(const PurgeFloor& floor);
   bool accept_time(Time time, const std::string& from);
   void apply_global_floor(Time at);
@@ -209,6 +220,7 @@
   std::vector<Action>* actions_ = nullptr;  // output of the current handle() call
   std::vector<std::string> peers_;
   BanSet bans_;
+  std::uint64_t loaded_sequence_ = 0;  // of the last own change of an earlier process
   PurgeFloors floors_;
   bool is_caught_up_ = false;
   bool has_more_to_receive_ = false;  // the last floors frame had the maximum number of floors
--- a/tests/replication/ban_set_test.cpp
+++ b/tests/replication/ban_set_test.cpp
@@ -114,7 +114,7 @@
   }
 }
 
-// This test is known to fail, see KNOWN-RED.txt: authors whose epoch has ended are never removed.
+// Guards against authors that accumulate with each epoch of a router, until no ban is replicated.
 TEST(BanSet, TakesABanAfterAsManyAuthorsHaveEndedAsItHolds) {
   using alderspur::replication::kMaxAuthors;
   BanSet bans;
--- a/tests/replication/replicated_test.cpp
+++ b/tests/replication/replicated_test.cpp
@@ -2,6 +2,7 @@
 // with injected faults. The checks use the requests that the test's caches receive and the view
 // that each process reports.
 #include "consensus/router_fleet.h"
+#include "replication/ban_set.h"
 #include "replication/seen_changes.h"
 #include "store/state_file.h"
 
@@ -56,6 +57,31 @@
     std::ifstream file(cluster->state(router) + "/replica.bans", std::ios::binary);
     return {std::istreambuf_iterator<char>(file), {}};
   }
+  // Returns the number of authors of this router whose changes its own file contains.
+  std::size_t authors_of(std::size_t router) {
+    const auto path = cluster->state(router) + "/replica.bans";
+    const auto file = alderspur::store::load_file(path, 1 << 20);
+    const auto bans = alderspur::replication::BanSet::decode(file.payload.value_or(""));
+    if (!bans) return 0;
+    const auto& authors = bans->context().contiguous();
+    return static_cast<std::size_t>(std::count_if(
+        authors.begin(), authors.end(),
+        [&](const auto& author) { return author.first.name == "n" + std::to_string(router); }));
+  }
+  // Bans and lifts at a router, and waits until both hold at the other one.
+  void ban_and_lift(std::size_t router, std::size_t other) {
+    request_change(router, "offline");
+    ASSERT_TRUE(cluster->until([&] { return banned_at({other}, true); }, 15 * kSecond));
+    request_change(router, "online");
+    ASSERT_TRUE(cluster->until([&] { return banned_at({other}, false); }, 15 * kSecond));
+  }
+  void restart(std::size_t router, int signal_number) {
+    cluster->signal(router, signal_number);
+    ASSERT_TRUE(cluster->until([&] { return !cluster->runs(router); }, 15 * kSecond));
+    cluster->start(router);
+    ASSERT_TRUE(cluster->until(
+        [&] { return cluster->whole(cluster->all()) && replica_view(router).is_caught_up; }));
+  }
   // Sends an operator's request: the change "offline" bans the cache s-2, and "online" lifts its
   // bans. Returns the body of the response.
   std::string request_change(std::size_t router, const char* change) {
@@ -254,4 +280,19 @@
       15 * kSecond));
 }
 
+// Guards against authors that accumulate with each restart of a router, until no ban is replicated.
+TEST_F(ReplicatedProcesses, ContinuesItsAuthorAfterAShutdownButNotAfterAKill) {
+  ASSERT_NO_FATAL_FAILURE(begin(2));
+  for (int start = 0; start < 3; ++start) {
+    ASSERT_NO_FATAL_FAILURE(ban_and_lift(0, 1));
+    ASSERT_NO_FATAL_FAILURE(restart(0, SIGTERM));
+  }
+  EXPECT_EQ(authors_of(0), 1U);
+  ASSERT_NO_FATAL_FAILURE(ban_and_lift(0, 1));
+  ASSERT_NO_FATAL_FAILURE(restart(0, SIGKILL));
+  ASSERT_NO_FATAL_FAILURE(ban_and_lift(0, 1));
+  ASSERT_NO_FATAL_FAILURE(restart(0, SIGTERM));
+  EXPECT_EQ(authors_of(0), 2U) << "the killed process may have sent changes that are not stored";
+}
+
 }  // namespace
