--- a/src/replication/ban_set.cpp
+++ b/src/replication/ban_set.cpp
@@ -10,7 +10,6 @@
 namespace alderspur::replication {
 namespace {
 
-using msgpack_codec::Document;
 using msgpack_codec::Reader;
 using msgpack_codec::Writer;
 
--- a/tests/replication/routers_with_disks.h
+++ b/tests/replication/routers_with_disks.h
@@ -298,11 +298,12 @@
       if (router.replica) copies.push_back(router.replica->bans());
       copies.push_back(router.disk.stored());
     }
-    for (auto& [dot, known] : known_) {
+    for (auto& entry : known_) {
       const bool is_known = std::any_of(copies.begin(), copies.end(), [&](const BanSet& copy) {
-        return known.is_lifted ? knows_lift(copy, dot) : copy.bans().contains(dot);
+        return entry.second.is_lifted ? knows_lift(copy, entry.first)
+                                      : copy.bans().contains(entry.first);
       });
-      known.is_lost = known.is_lost || !is_known;
+      entry.second.is_lost = entry.second.is_lost || !is_known;
     }
   }
 
