Count a late attempt once where attempts cannot be cancelled

What callers saw: without cancellation, one request that was not answered by its deadline ejected its server; two failures in a row are meant to. Cause: Attempts::abandon_attempt counted a failure although the attempt goes on, and Health::record_outcome counted its outcome again. Change: without cancellation abandon_attempt does nothing; the outcome is counted. Measured: AttemptsTest.CountsALateAttemptOnceWhetherOrNotItCanBeCancelled failed before for can_cancel false, passes now.

--- a/src/policy/attempts.cpp
+++ b/src/policy/attempts.cpp
@@ -165,6 +165,8 @@
 }
 
 void Attempts::abandon_attempt(const RequestState& state) {
+  // An attempt that cannot be cancelled goes on, and its own outcome is counted.
+  if (!context_.settings.can_cancel_attempts) return;
   const AttemptState* attempt = state.attempt_in_flight();
   if (!attempt) return;
   Upstream* upstream = context_.upstreams.find(attempt->server);
--- a/src/policy/attempts.h
+++ b/src/policy/attempts.h
@@ -58,8 +58,8 @@
   bool send(RequestState& state, Upstream& upstream, std::optional<Fill> fill);
   /// Reports whether the request, its idempotency and the state of the server allow an attempt.
   bool may_send_to(const RequestState& state, Upstream& upstream);
-  /// Cancels the attempt in flight, if there is one. If its server has not responded in time,
-  /// counts a failure of the server.
+  /// Cancels the attempt in flight, if there is one and the caller supports that. If its server has
+  /// not responded in time, counts a failure of the server, since the outcome will not.
   void abandon_attempt(const RequestState& state);
   /// Emits a Cancel for the last attempt, if the caller supports it.
   void cancel_last_attempt(const RequestState& state) const;
--- a/tests/policy/attempts_test.cpp
+++ b/tests/policy/attempts_test.cpp
@@ -95,4 +95,25 @@
   EXPECT_EQ(retries, 0u);
 }
 
+// Guards against a late attempt that counts as two failures of its server, which would eject a
+// server after a single one.
+TEST(AttemptsTest, CountsALateAttemptOnceWhetherOrNotItCanBeCancelled) {
+  for (const bool can_cancel : {true, false}) {
+    Settings settings = test_settings();
+    settings.can_cancel_attempts = can_cancel;
+    RouterFixture fixture(settings);
+    std::uint64_t object = 1;
+    while (fixture.serve_request(object) == 0) ++object;
+    fixture.advance(kMillisecond);  // the server has not responded since
+    const auto late = fixture.send_request(object);
+    const auto server = fixture.sends[late].at(0).server;
+    fixture.advance(5 * kSecond);
+    EXPECT_EQ(fixture.final_responses[late], 1);
+    fixture.finish_attempt(late, can_cancel ? AttemptResult::cancelled : AttemptResult::timeout,
+                           FillOutcome::none, 0, 5 * kSecond);
+    const auto next = fixture.send_request(object);
+    EXPECT_EQ(fixture.sends[next].at(0).server, server) << "can cancel: " << can_cancel;
+  }
+}
+
 }  // namespace
