Write the active version later if the worker's queue is full

What callers saw: a router with 64 checks waiting never wrote a version that had become active, and served by the earlier list and routes, without a line. Cause: VersionContents::write_active_files ignored that Worker::submit had refused the job, but for clearing its flag. Change: the write stays required and is submitted again when a check has ended. Measured: VersionContentsTest.WritesTheActiveVersionAlthoughTheWorkerWasFull failed before (not written in 10 s), passes now.

--- a/src/control/version_contents.cpp
+++ b/src/control/version_contents.cpp
@@ -118,7 +118,10 @@
     const ContentResult error = check_documents(*action.content, folder_, config_);
     const consensus::ContentChecked result{action.digest, !error,
                                            error ? error->message : std::string()};
-    wakeup_.post([done, result] { done(result); });
+    wakeup_.post([this, done, result] {
+      done(result);
+      write_again_if_required();
+    });
   });
 }
 
@@ -142,10 +145,17 @@
         log_.record(kLogModule, log::Level::error, "not_acted_on", {{"reason", error->message}});
       }
       if (files_.on_written) files_.on_written();
-      if (std::exchange(must_write_again_, false)) write_active_files();
+      write_again_if_required();
     });
   });
-  if (!is_submitted) is_writing_ = false;
+  if (is_submitted) return;
+  // The worker's queue is full of checks. The write is repeated when one of them has ended.
+  is_writing_ = false;
+  must_write_again_ = true;
+}
+
+void VersionContents::write_again_if_required() {
+  if (!is_writing_ && std::exchange(must_write_again_, false)) write_active_files();
 }
 
 }  // namespace alderspur::control
--- a/src/control/version_contents.h
+++ b/src/control/version_contents.h
@@ -44,8 +44,8 @@
   /// full, `done` is never called, and the consensus repeats the request.
   void check(const consensus::CheckContent& action, CheckHandler done);
 
-  /// Writes the files of this version, merged with its newer contents. If a write is in progress,
-  /// starts when that write has finished.
+  /// Writes the files of this version, merged with its newer contents. If a write is in progress or
+  /// the worker's queue is full, starts when that write or a check has finished.
   void write_files(const consensus::ActiveVersion& active);
 
   /// Stops the worker and waits up to `timeout` for it. Returns false if it is still blocked on its
@@ -54,6 +54,7 @@
 
  private:
   void write_active_files();
+  void write_again_if_required();
 
   const VersionFiles files_;
   const std::string folder_;
