Send an outdated sender the update on its successor

What callers saw: an older process of a router could stay a member beside its successor, which the other members logged at each message. Cause: verify_sender attached the update on this process in its answer; the successor's was in it only while still queued. Change: the answer contains the known update of the sender's name.

--- a/src/cluster/membership_probing.cpp
+++ b/src/cluster/membership_probing.cpp
@@ -183,7 +183,9 @@
   if (known != nullptr && known->identity().epoch > sender.epoch) {
     ++counters_.conflicts;
     emit(NameConflict{sender, known->identity()});
-    return send(from, make_message(Message::Kind::gossip, 0), sender.name);
+    Message reply = make_message(Message::Kind::gossip, 0);
+    reply.updates.push_back(known->view.update);
+    return send(from, std::move(reply), {});
   }
   const bool has_capacity = outstanding_pings_.size() < kMaxOutstandingPings;
   if (!has_capacity || message.kind == Message::Kind::ack) return;
--- a/tests/cluster/membership_test.cpp
+++ b/tests/cluster/membership_test.cpp
@@ -185,6 +185,33 @@
   EXPECT_EQ(network.member("n1").find("n3")->update.state, MemberState::alive);
 }
 
+// Guards against a process that goes on as a member because it never receives the update on its
+// successor, once other members no longer repeat that update.
+TEST_P(MembershipTest, SendsAnOutdatedSenderTheUpdateOnItsSuccessor) {
+  Network& network = this->network();
+  ASSERT_NO_FATAL_FAILURE(form(4));
+  cluster::Message outdated;
+  outdated.sender = network.member("n2").self();
+  network.kill("at-n2");
+  network.start("n2", {"at-n0"}, "elsewhere");
+  const auto& successor = network.node("elsewhere").membership->self();
+  const auto knows_successor = [&] {
+    const auto* view = network.member("n0").find("n2");
+    return view != nullptr && view->update.identity.epoch == successor.epoch;
+  };
+  ASSERT_TRUE(network.run_until(knows_successor, 8 * kSecond));
+  network.run(10 * kSecond);  // until the update is no longer queued
+  std::vector<cluster::Action> actions;
+  network.member("n0").handle(network.now(), cluster::MessageReceived{outdated, "at-n2"}, actions);
+  const auto has_successor = [&](const cluster::Action& action) {
+    const auto* sent = std::get_if<cluster::SendMessage>(&action);
+    if (sent == nullptr || sent->address != "at-n2") return false;
+    return std::any_of(sent->message.updates.begin(), sent->message.updates.end(),
+                       [&](const auto& update) { return update.identity == successor; });
+  };
+  EXPECT_TRUE(std::any_of(actions.begin(), actions.end(), has_successor));
+}
+
 TEST_P(MembershipTest, KeepsTheLaterOfTwoProcessesWithTheSameName) {
   Network& network = this->network();
   ASSERT_NO_FATAL_FAILURE(form(4));
