Bound the wait for the endpoint list's disk at the end of a shutdown

What callers saw: alderspur run with its state on a disk that hangs never exited after SIGTERM, so it was killed, with its last log lines unflushed. Cause: EndpointController::finish drained its writer without a limit, and the workers' destructors joined them. Change: finish() waits 0.5 s at most for each save and 0.2 s for each worker, and says whether they stopped; else the program flushes its log and ends by _exit as for the other workers. Measured: SignalsTest.ExitsInTimeWhileTheStateDirectoryHangs failed before (no exit 3.7 s after SIGTERM), passes now.

--- a/src/cli/run.cpp
+++ b/src/cli/run.cpp
@@ -195,7 +195,8 @@
 bool RunningRouter::stop_workers() {
   if (!router_.stop_workers()) return false;
   if (consensus_ && !consensus_->stop_workers()) return false;
-  return !replication_ || replication_->stop_worker();
+  if (replication_ && !replication_->stop_worker()) return false;
+  return !endpoint_controller_ || endpoint_controller_->finish();
 }
 
 void RunningRouter::run() {
@@ -210,7 +211,6 @@
     log_.flush();
     ::_exit(kSuccess);
   }
-  if (endpoint_controller_) endpoint_controller_->finish();
   log_endpoint_summary();
 }
 
--- a/src/control/endpoint_controller.cpp
+++ b/src/control/endpoint_controller.cpp
@@ -18,6 +18,8 @@
 /// The delay between a change and the write of the state, in microseconds. Changes within this time
 /// are written together.
 constexpr core::Time kSaveDelay = 1'000'000;
+constexpr std::chrono::milliseconds kFinalSaveTimeout(500);
+constexpr std::chrono::milliseconds kStopTimeout(200);
 constexpr core::Time kMicrosecondsPerSecond = 1'000'000;
 constexpr const char* kLogModule = "membership";
 
@@ -300,12 +302,14 @@
       });
 }
 
-void EndpointController::finish() {
-  if (settings_.state_directory.empty()) return;
-  writer_.drain();
-  is_saving_ = false;
-  save();
-  writer_.drain();
+bool EndpointController::finish() {
+  if (!settings_.state_directory.empty() && writer_.drain(kFinalSaveTimeout)) {
+    is_saving_ = false;
+    save();
+    writer_.drain(kFinalSaveTimeout);
+  }
+  const bool has_stopped_writer = writer_.stop(kStopTimeout);
+  return reader_.stop(kStopTimeout) && has_stopped_writer;
 }
 
 std::string EndpointController::summary() const {
--- a/src/control/endpoint_controller.h
+++ b/src/control/endpoint_controller.h
@@ -56,8 +56,10 @@
   /// Reads the files again immediately, without waiting for the watcher to detect a change.
   void reload();
 
-  /// Writes the state and blocks the calling thread until it has been written to disk.
-  void finish();
+  /// Writes the state, stops the workers and waits a short time for both. Call this after the event
+  /// loop has ended. Returns false if a worker is still blocked on its disk; then only _exit() can
+  /// end the process.
+  bool finish();
 
   /// Returns the active generation and the counters as one line of text for the log.
   std::string summary() const;
--- a/src/file_watch/worker.cpp
+++ b/src/file_watch/worker.cpp
@@ -47,9 +47,10 @@
   return true;
 }
 
-void Worker::drain() {
+bool Worker::drain(std::chrono::milliseconds timeout) {
   std::unique_lock lock(mutex_);
-  changed_.wait(lock, [this] { return is_stopping_ || (jobs_.empty() && !is_busy_); });
+  return changed_.wait_for(lock, timeout,
+                           [this] { return is_stopping_ || (jobs_.empty() && !is_busy_); });
 }
 
 bool Worker::stop(std::chrono::milliseconds timeout) {
--- a/src/file_watch/worker.h
+++ b/src/file_watch/worker.h
@@ -32,8 +32,9 @@
   /// is otherwise ignored.
   bool submit(std::function<void()> job);
 
-  /// Blocks until every submitted job has run, or until the worker is stopping.
-  void drain();
+  /// Blocks until every submitted job has run, or until the worker is stopping. Returns false if
+  /// this takes longer than the timeout.
+  bool drain(std::chrono::milliseconds timeout);
 
   /// Rejects further jobs and discards the jobs that have not started. Returns false if the running
   /// job has not ended within the timeout. The destructor still waits for that job.
--- a/tests/signals_test.cpp
+++ b/tests/signals_test.cpp
@@ -314,4 +314,17 @@
   }
 }
 
+// Guards against a shutdown that waits for a disk which does not respond, until it is killed.
+TEST_F(SignalsTest, ExitsInTimeWhileTheStateDirectoryHangs) {
+  std::filesystem::create_directories(state_directory());
+  // A write of the state opens this pipe and waits for a reader.
+  ASSERT_EQ(::mkfifo((state_directory() + "/membership.state.new").c_str(), 0600), 0);
+  create(Program::alderspur);
+  configure_after({});
+  wait_until_serving();
+  program->send_signal(SIGTERM);
+  ASSERT_TRUE(run_until([&] { return program->has_exited(); }, kEarliestKill));
+  EXPECT_EQ(program->wait_for_exit(), 0);
+}
+
 }  // namespace
