Stop each worker at the end, also if an earlier one hangs

What callers saw: with a shared directory that does not respond at the exit, consensus, replicated bans and the endpoint list were not saved for the last time, though their disk worked: a ban that was lifted shortly before could hold again, and the next process was a new author. Cause: stop_workers of the program, of ConsensusService and of ConsensusStorage chained their results by &&, which ends at the first worker that hangs. Change: all workers are stopped, then the results are combined. Measured: SignalsTest.StoresReplicatedBansAtTheEndAlthoughTheSharedDirectoryHangs failed with the chain in place, passes now.

--- a/src/cli/run.cpp
+++ b/src/cli/run.cpp
@@ -190,13 +190,15 @@
   return list ? list->generation : 0;
 }
 
-/// Stops the worker threads. Returns false if one of them is blocked by its disk; only _exit() can
-/// then end the process.
+/// Stops the worker threads, after their last saves. Returns false if one of them is blocked by its
+/// disk; only _exit() can then end the process.
 bool RunningRouter::stop_workers() {
-  if (!router_.stop_workers()) return false;
-  if (consensus_ && !consensus_->stop_workers()) return false;
-  if (replication_ && !replication_->stop_worker()) return false;
-  return !endpoint_controller_ || endpoint_controller_->finish();
+  // The others are stopped, and save, even if one of them is blocked.
+  bool have_stopped = router_.stop_workers();
+  if (consensus_) have_stopped = consensus_->stop_workers() && have_stopped;
+  if (replication_) have_stopped = replication_->stop_worker() && have_stopped;
+  if (endpoint_controller_) have_stopped = endpoint_controller_->finish() && have_stopped;
+  return have_stopped;
 }
 
 void RunningRouter::run() {
--- a/src/control/consensus_service.cpp
+++ b/src/control/consensus_service.cpp
@@ -75,7 +75,8 @@
 }
 
 bool ConsensusService::stop_workers() {
-  return storage_.stop_workers(kStopTimeout) && contents_.stop_worker(kStopTimeout);
+  const bool has_stopped_storage = storage_.stop_workers(kStopTimeout);
+  return contents_.stop_worker(kStopTimeout) && has_stopped_storage;
 }
 
 void ConsensusService::subscribe() {
--- a/src/control/consensus_storage.cpp
+++ b/src/control/consensus_storage.cpp
@@ -137,7 +137,8 @@
 }
 
 bool ConsensusStorage::stop_workers(std::chrono::milliseconds timeout) {
-  return log_writer_.stop(timeout) && content_writer_.stop(timeout);
+  const bool has_stopped_log_writer = log_writer_.stop(timeout);
+  return content_writer_.stop(timeout) && has_stopped_log_writer;
 }
 
 }  // namespace alderspur::control
--- a/tests/signals_test.cpp
+++ b/tests/signals_test.cpp
@@ -1,6 +1,8 @@
 // Sends drawn series of signals to the two programs at drawn moments of their life. A failed check
 // prints its seed, which reproduces the series.
+#include <fcntl.h>
 #include <gtest/gtest.h>
+#include <sys/file.h>
 
 #include <algorithm>
 #include <array>
@@ -8,12 +10,14 @@
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
 #include <vector>
 
 #include "hot_restart/shared_directory.h"
+#include "replication/stored_bans.h"
 #include "store/endpoint_state.h"
 #include "support/router_process.h"
 
@@ -103,7 +107,30 @@
   std::string settings() const {
     return "[router]\nconfig = \"config.json\"\noperator = \"127.0.0.1:0\"\n[membership]\n"
            "authority = \"both\"\nlist = \"" +
-           folder + "/servers.toml\"\nstate = \"" + state_directory() + "\"\n";
+           folder + "/servers.toml\"\nstate = \"" + state_directory() + "\"\n" + more_settings;
+  }
+  // Makes the program a member of a cluster of its own, which stores replicated bans.
+  void join_cluster() {
+    std::ofstream(folder + "/secret") << std::string(40, 'x') << "\n";
+    more_settings = "[cluster]\nname = \"tests\"\nmember = \"n0\"\nlisten = \"127.0.0.1:0\"\n" +
+                    std::string("seeds = []\nsecret = \"") + folder + "/secret\"\nstate = \"" +
+                    folder + "/cluster\"\n";
+  }
+  // Returns the bans that the next process would start with.
+  std::optional<replication::BanSet> replicated_bans() const {
+    const auto epoch = store::load_file(folder + "/cluster/epoch", 4096).payload.value_or("");
+    const auto bans = store::load_file(folder + "/cluster/replica.bans", 1 << 20).payload;
+    if (epoch.empty() || !bans) return std::nullopt;
+    return replication::decode_stored_bans(*bans, std::stoull(epoch.substr(epoch.rfind(' '))));
+  }
+  // Lets each change of the bans in the shared directory wait, as a process does that is stopped in
+  // the middle of a change.
+  void hang_shared_directory() {
+    for (const auto& entry : std::filesystem::directory_iterator(shared_directory())) {
+      if (entry.path().extension() != ".lock") continue;
+      held_lock = net::Fd(::open(entry.path().c_str(), O_RDWR));
+    }
+    ASSERT_EQ(::flock(held_lock.get(), LOCK_EX), 0);
   }
 
   // Creates the process, which then waits for its configuration.
@@ -173,6 +200,8 @@
 
   FakeCache cache;
   std::string folder;
+  std::string more_settings;
+  net::Fd held_lock;
   std::string log;
   std::unique_ptr<RouterProcess> program;
   std::unique_ptr<TestSocket> client;
@@ -327,4 +356,24 @@
   EXPECT_EQ(program->wait_for_exit(), 0);
 }
 
+// Guards against a worker that is not stopped, and does not save, because another one is blocked.
+TEST_F(SignalsTest, StoresReplicatedBansAtTheEndAlthoughTheSharedDirectoryHangs) {
+  join_cluster();
+  create(Program::alderspur);
+  configure_after({});
+  wait_until_serving();
+  call("/control/caches/s/offline");
+  ASSERT_TRUE(run_until([&] { return is_acknowledged(); }, 20 * kSecond));
+  ASSERT_NO_FATAL_FAILURE(hang_shared_directory());
+  call("/control/caches/s/online");
+  run_until([] { return false; }, 100 * kMillisecond);
+  program->send_signal(SIGTERM);
+  ASSERT_TRUE(run_until([&] { return program->has_exited(); }, kEarliestKill));
+  EXPECT_EQ(program->wait_for_exit(), 0);
+  const auto bans = replicated_bans();
+  ASSERT_TRUE(bans);
+  EXPECT_TRUE(bans->last_own_change()) << "the next process must continue the author";
+  EXPECT_FALSE(bans->is_banned("s"));
+}
+
 }  // namespace
