Do not confirm a ban before the stored bans have been read

What callers saw: offline and online were answered with 200 while the router was still reading its file, so the change held at this router only; with a disk that hangs, for good. Cause: the answer looked only at bans that a limit had refused, not at changes that wait for the file. Change: the replication service says where a change holds (replicated, limit reached, not started); not started is answered with 503, for bans and lifts. Once the file has been read the change is replicated, and a repeated call is answered with 200. The tests' faulty disk can block the read of that file.

--- a/src/admin/router_admin_handler.cpp
+++ b/src/admin/router_admin_handler.cpp
@@ -79,10 +79,14 @@
 
 // Returns the reply to a change that is on the disk.
 HttpReply RouterAdminHandler::ban_reply(const hot_restart::BanChange& change) const {
-  if (!change.is_banned) return {200, change.server + " is not banned\n"};
-  if (!is_ban_replicated_ || is_ban_replicated_(change.server)) {
-    return {200, change.server + " is banned\n"};
+  const auto replication =
+      ban_replication_ ? ban_replication_(change.server) : BanReplication::replicated;
+  if (replication == BanReplication::not_started) {
+    return {503,
+            "the change is in effect on this router only: the stored bans are still being read\n"};
   }
+  if (!change.is_banned) return {200, change.server + " is not banned\n"};
+  if (replication == BanReplication::replicated) return {200, change.server + " is banned\n"};
   return {503,
           "the ban is in effect on this router only: the limit of replicated bans is reached\n"};
 }
--- a/src/admin/router_admin_handler.h
+++ b/src/admin/router_admin_handler.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <optional>
 #include <string>
@@ -17,6 +18,13 @@
 
 namespace alderspur::admin {
 
+/// Where a change of the bans that is in effect here holds.
+enum class BanReplication : std::uint8_t {
+  replicated,     // it is sent to the other routers
+  limit_reached,  // a limit on replicated bans keeps it at this router
+  not_started,    // it is sent once the stored bans have been read
+};
+
 /// The AdminHandler of one router.
 class RouterAdminHandler : public AdminHandler {
  public:
@@ -44,8 +52,8 @@
   /// Bans a server or lifts its ban. The change takes effect in this turn of the loop. The reply
   /// has status 200 and is given once the change is on the disk. A call that changes nothing gets
   /// 200 as well, and an unknown server gets 404. The status is 503 if the change cannot be written
-  /// to the disk within kDiskTimeout, or if a ban cannot be replicated to the other routers; the
-  /// change stays in effect nevertheless.
+  /// to the disk within kDiskTimeout, or if it is not replicated to the other routers; the change
+  /// stays in effect nevertheless.
   void change_ban(std::string_view server, bool is_banned, ReplyCallback done) override;
 
   /// Sets the function that returns the view of the cluster as JSON. Until it is set, or if it
@@ -55,10 +63,10 @@
   void set_readiness_condition(std::function<bool()> condition) {
     readiness_condition_ = std::move(condition);
   }
-  /// Sets the function that returns whether a ban in effect here is replicated to the other
-  /// routers.
-  void set_ban_replication_check(std::function<bool(const std::string& server)> is_replicated) {
-    is_ban_replicated_ = std::move(is_replicated);
+  /// Sets the function that returns where a change of the bans of a server holds. Until it is set,
+  /// this router has no others.
+  void set_ban_replication(std::function<BanReplication(const std::string& server)> replication) {
+    ban_replication_ = std::move(replication);
   }
   /// Sets the handler of calls about configuration versions. Their bodies may have at most
   /// `max_body_bytes`.
@@ -78,7 +86,7 @@
   RouterState router_;
   std::function<std::string()> cluster_view_;
   std::function<bool()> readiness_condition_;
-  std::function<bool(const std::string& server)> is_ban_replicated_;
+  std::function<BanReplication(const std::string& server)> ban_replication_;
   VersionsHandler versions_handler_;
   std::size_t max_body_bytes_ = 0;
   core::Time started_at_;
--- a/src/control/replication_service.cpp
+++ b/src/control/replication_service.cpp
@@ -68,8 +68,8 @@
 
 void ReplicationService::subscribe_to_router() {
   router_.on_ban([this](const hot_restart::BanChange& change) { handle_local_ban(change); });
-  router_.set_ban_replication_check(
-      [this](const std::string& server) { return is_ban_replicated(server); });
+  router_.set_ban_replication(
+      [this](const std::string& server) { return ban_replication(server); });
   router_.set_readiness_condition([this] { return has_started_ && replica_->is_caught_up(); });
   router_.engine().on_purge([this](const core::PurgeNotice& notice) {
     if (notice.covers_everything) return;  // apply_global_purge() has issued this purge
@@ -151,8 +151,10 @@
   for (const auto& server : std::exchange(unreplicated_bans_, {})) handle_local_ban({server, true});
 }
 
-bool ReplicationService::is_ban_replicated(const std::string& server) const {
-  return !unreplicated_bans_.contains(server);
+admin::BanReplication ReplicationService::ban_replication(const std::string& server) const {
+  if (!has_started_) return admin::BanReplication::not_started;
+  return unreplicated_bans_.contains(server) ? admin::BanReplication::limit_reached
+                                             : admin::BanReplication::replicated;
 }
 
 void ReplicationService::handle(const replication::Event& event) {
--- a/src/control/replication_service.h
+++ b/src/control/replication_service.h
@@ -50,7 +50,7 @@
   void apply_replicated_bans();
   void handle_local_ban(const hot_restart::BanChange& change);
   void retry_unreplicated_bans();
-  bool is_ban_replicated(const std::string& server) const;
+  admin::BanReplication ban_replication(const std::string& server) const;
   void handle(const replication::Event& event);
   void perform(const replication::Action& action);
   void apply_ban(const replication::SetBan& ban);
--- a/src/edge_router/edge_router.cpp
+++ b/src/edge_router/edge_router.cpp
@@ -112,9 +112,9 @@
   if (admin_handler_) admin_handler_->set_readiness_condition(std::move(may_be_ready));
 }
 
-void EdgeRouter::set_ban_replication_check(
-    std::function<bool(const std::string& server)> is_replicated) {
-  if (admin_handler_) admin_handler_->set_ban_replication_check(std::move(is_replicated));
+void EdgeRouter::set_ban_replication(
+    std::function<admin::BanReplication(const std::string& server)> replication) {
+  if (admin_handler_) admin_handler_->set_ban_replication(std::move(replication));
 }
 
 // ---- Bans and shares ----
--- a/src/edge_router/edge_router.h
+++ b/src/edge_router/edge_router.h
@@ -56,9 +56,9 @@
   /// Sets a condition for readiness: the router reports itself as not ready while `may_be_ready`
   /// returns false.
   void set_readiness_condition(std::function<bool()> may_be_ready);
-  /// Sets the function that reports whether a ban in effect in this router has been replicated to
-  /// the other routers.
-  void set_ban_replication_check(std::function<bool(const std::string& server)> is_replicated);
+  /// Sets the function that reports where a change of the bans of a server holds.
+  void set_ban_replication(
+      std::function<admin::BanReplication(const std::string& server)> replication);
   /// Sets the function that is called after a reload on SIGHUP.
   void on_reload(std::function<void()> callback) { reload_callback_ = std::move(callback); }
   /// Sets the function that is called when an operator bans a server or lifts a ban, whichever
--- a/tests/consensus/faulty_disk.cpp
+++ b/tests/consensus/faulty_disk.cpp
@@ -35,9 +35,12 @@
   sync_fails = 2,    // a sync fails with EIO
   disk_full = 3,     // a write fails with ENOSPC
   hangs = 4,         // a sync blocks until the fault ends
-  read_fails = 5     // a read fails with EIO
+  read_fails = 5,    // a read fails with EIO
+  bans_hang = 6      // a read of the stored replicated bans blocks until the fault ends
 };
 
+constexpr const char* kBansFile = "/replica.bans";
+
 constexpr std::size_t kControlBytes = 2 * sizeof(std::int64_t);
 constexpr std::int64_t kMicrosecondsPerSecond = 1'000'000;
 constexpr useconds_t kHangPollInterval = 10'000;  // microseconds
@@ -89,6 +92,11 @@
   return is_watched(file, path);
 }
 
+bool is_file_of_bans(int file) {
+  char path[PATH_MAX];
+  return is_watched(file, path) && std::strstr(path, kBansFile) != nullptr;
+}
+
 // Sets `path` to the path of a file in LIAR_SHADOW.
 void shadow_path(char* path, const char* name) {
   std::snprintf(path, PATH_MAX, "%s/%s", std::getenv("LIAR_SHADOW"), name);
@@ -185,6 +193,12 @@
   return real_pread(file, bytes, size, offset);
 }
 
+ssize_t read(int file, void* bytes, std::size_t size) {
+  static const auto real_read = real_function<ssize_t (*)(int, void*, std::size_t)>("read");
+  while (current_fault() == Fault::bans_hang && is_file_of_bans(file)) ::usleep(kHangPollInterval);
+  return real_read(file, bytes, size);
+}
+
 int clock_gettime(clockid_t clock, timespec* time) {
   static const auto real_clock = real_function<int (*)(clockid_t, timespec*)>("clock_gettime");
   const int result = real_clock(clock, time);
--- a/tests/consensus/router_fleet.h
+++ b/tests/consensus/router_fleet.h
@@ -38,6 +38,7 @@
 constexpr std::int64_t kSyncFails = 2;
 constexpr std::int64_t kDiskFull = 3;
 constexpr std::int64_t kHangs = 4;
+constexpr std::int64_t kBansHang = 6;
 
 /// A fake service discovery for one router. It accepts the router's watch connection and sends it
 /// the lines that the test supplies.
--- a/tests/replication/replicated_test.cpp
+++ b/tests/replication/replicated_test.cpp
@@ -295,4 +295,23 @@
   EXPECT_EQ(authors_of(0), 2U) << "the killed process may have sent changes that are not stored";
 }
 
+// Guards against a success response for a change that is not replicated, because the stored bans
+// are still being read.
+TEST_F(ReplicatedProcesses, ReportsAChangeThatHoldsAtOneRouterOnlyUntilTheBansAreRead) {
+  ASSERT_NO_FATAL_FAILURE(begin(2));
+  ASSERT_NO_FATAL_FAILURE(ban_and_lift(0, 1));  // so that there is a file
+  cluster->kill(0);
+  cluster->set_faults(0, fleet::kBansHang);
+  cluster->start(0);
+  ASSERT_TRUE(cluster->until([&] { return replica_view(0).has_answered; }));
+  for (const char* change : {"offline", "online", "offline"}) {
+    const auto reply = request_change(0, change);
+    EXPECT_NE(reply.find("on this router only"), std::string::npos) << change << ": " << reply;
+  }
+  EXPECT_TRUE(banned_at({1}, false));
+  cluster->set_faults(0, kNoFault);
+  ASSERT_TRUE(cluster->until([&] { return banned_at(cluster->all(), true); }, 15 * kSecond));
+  EXPECT_NE(request_change(0, "offline").find("is banned"), std::string::npos);
+}
+
 }  // namespace
