Add the known failure of a router whose clock is ahead

Cause: bans of a router more than 60 s ahead are rejected by all others, and nothing says so where the operator made them. Not mended: an answer to a rejected frame needs a rule for which of two clocks is wrong.

--- a/tests/replication/replica_test.cpp
+++ b/tests/replication/replica_test.cpp
@@ -396,6 +396,20 @@
   EXPECT_TRUE(network.run_until([&] { return network.all_equal(); }, 5 * kSecond));
 }
 
+// A known failure (KNOWN-RED.txt): a router whose clock is ahead bans a server, all other routers
+// reject the ban, and nothing reports that at the router where the operator made it.
+TEST(Replica, ReportsARejectedBanAtTheRouterWhoseClockIsAhead) {
+  constexpr Time kClockError = 120 * kSecond;
+  Network network(9, 3);
+  network.run(2 * kSecond);
+  network.node("r0").clock_error = kClockError;
+  network.deliver("r0", BanRequested{"s-1", "by hand", network.now() + kClockError});
+  network.run(5 * kSecond);
+  ASSERT_FALSE(network.replica("r1").bans().is_banned("s-1"));
+  const auto& node = network.node("r0");
+  EXPECT_FALSE(node.refused_bans.empty() && node.clock_skews.empty());
+}
+
 // Runs replicas through random losses, partitions, stops, restarts and changes.
 class RandomSchedule {
  public:
