--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -138,7 +138,7 @@
   command->add_option("--base", arguments.base,
                       "number of the version it is based on; default: the newest");
   command->footer(
-      "Exit code 0: the version is in force. Example: alderspur cluster propose "
+      "Exit code 0: the version is active. Example: alderspur cluster propose "
       "servers=servers.toml --at "
       "127.0.0.1:8470");
   command->add_option("--first", canary.routers,
