Wait half a second for the last write of replicated bans

Cause: 200 ms is short for a sync on a busy disk, and a late write costs the next process its author. A healthy disk ends the wait as before.

--- a/src/control/replication_service.cpp
+++ b/src/control/replication_service.cpp
@@ -22,7 +22,7 @@
 constexpr core::Time kMinTickDelay = 1'000;
 constexpr core::Time kMicrosecondsPerMillisecond = 1'000;
 constexpr std::chrono::milliseconds kStopTimeout(200);
-constexpr std::chrono::milliseconds kFinalSaveTimeout(200);
+constexpr std::chrono::milliseconds kFinalSaveTimeout(500);
 
 std::string file_path(const std::string& state_folder) {
   return state_folder.empty() ? std::string() : state_folder + "/replica.bans";
