Wait for the event loop before the test looks at blocked signals

Cause: SignalsTest.OnlyTheThreadOfTheEventLoopReceivesSignals failed once in 101 cases played six at a time: all four signals were still blocked on the main thread. The program logs its addresses before the loop runs, and the test looked at once; so the fault is the test's. Change: it waits until a request has reached the cache, which only a running loop forwards. The checks are the same.

--- a/tests/signals_test.cpp
+++ b/tests/signals_test.cpp
@@ -135,6 +135,7 @@
 
   // Creates the process, which then waits for its configuration.
   void create(Program kind) {
+    cache.commands.clear();
     const bool is_edge_router = kind == Program::edge_router;
     program =
         std::make_unique<RouterProcess>("", shared_directory(), is_edge_router ? "127.0.0.1:0" : "",
@@ -167,6 +168,15 @@
     }
     return condition();
   }
+  // Sends a request and waits until the cache has received it. The event loop then runs.
+  void send_request() {
+    client->write(loopback::encode_request(1, "asset",
+                                           {{"txn", "00000000000000aa"},
+                                            {"item", "00000000000000aa"},
+                                            {"limit", "3000"},
+                                            {"ram", "90"}}));
+    ASSERT_TRUE(run_until([&] { return cache.count("fetch") == 1; }, 20 * kSecond)) << log;
+  }
   // Calls an operator's command. The response arrives in `operator_call`.
   void call(const std::string& path) {
     const int fd = ::socket(AF_INET, SOCK_STREAM, 0);
@@ -223,12 +233,7 @@
     end(series);
   }
   void serve(SignalSeries& series) {
-    client->write(loopback::encode_request(1, "asset",
-                                           {{"txn", "00000000000000aa"},
-                                            {"item", "00000000000000aa"},
-                                            {"limit", "3000"},
-                                            {"ram", "90"}}));
-    ASSERT_TRUE(run_until([&] { return cache.count("fetch") == 1; }, 20 * kSecond)) << log;
+    ASSERT_NO_FATAL_FAILURE(send_request());
     for (const int number : series.while_serving) {
       program->send_signal(number);
       run_until([] { return false; }, static_cast<Time>(series.draw(5)) * kMillisecond);
@@ -305,6 +310,7 @@
     create(kind);
     configure_after({});
     wait_until_serving();
+    ASSERT_NO_FATAL_FAILURE(send_request());
     const auto tasks = std::filesystem::path("/proc") / std::to_string(program->id()) / "task";
     std::size_t thread_count = 0;
     for (const auto& thread : std::filesystem::directory_iterator(tasks)) {
