Bound a connection's memory by its unsent bytes, whatever the order of writes

Cause: net::Connection kept its write queue in one string and released what was sent only when the queue had run empty. The limits count unwritten(), which leaves the sent part out. The read buffer kept the size of the longest message in the same way. Change: net::SendQueue keeps chunks of at most 16 KiB and frees each with its last byte; net::ReadBuffer gives memory back while input remains. Both serve every user of net::Connection. SIGUSR1 logs in one line what the limits count, what the buffers of all connections hold (net::BufferAccount) and the process's anonymous memory. Why it works: held are the unsent bytes and at most two chunks, and a byte is copied once and never moved, so neither memory nor cost a byte grows with what has passed through the queue.

--- a/src/edge_router/edge_router.cpp
+++ b/src/edge_router/edge_router.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <csignal>
 
+#include "admin/process_memory.h"
+
 namespace alderspur::edge_router {
 namespace {
 
@@ -227,7 +229,19 @@
   if (reload_callback_) reload_callback_();
 }
 
+// Compares the bytes that the limits count with the memory that the process uses.
+void EdgeRouter::report_memory() {
+  const net::BufferAccount& buffers = loop_.buffers();
+  const auto anonymous = admin::anonymous_memory();
+  log_("memory", "limits count " + std::to_string(front_.limited_bytes()) +
+                     " bytes, buffers hold " + std::to_string(buffers.held) + " for " +
+                     std::to_string(buffers.unsent) + " unsent and " +
+                     std::to_string(buffers.unread) + " unread, anonymous memory " +
+                     (anonymous ? std::to_string(*anonymous) : "unknown"));
+}
+
 void EdgeRouter::report_counters() {
+  report_memory();
   if (counters_report_) return counters_report_();
   log_("counters", "open " + std::to_string(engine_.open_request_count()) +
                        ", connections to servers " +
--- a/src/edge_router/edge_router.h
+++ b/src/edge_router/edge_router.h
@@ -98,6 +98,7 @@
   void start_admin();
   void reload();
   void report_counters();
+  void report_memory();
   void apply_ban(const hot_restart::BanChange& change);
   void update_peers(const hot_restart::PeerSummary& peers, double share);
   void start_shutdown();
--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -7,24 +7,27 @@
 #include <sys/uio.h>
 
 #include <algorithm>
+#include <array>
 #include <cerrno>
-#include <cstring>
 #include <utility>
 
 namespace alderspur::net {
 namespace {
 
-constexpr std::size_t kMinReadBytes = 16 << 10;
 constexpr std::size_t kMaxReadBytes = 512 << 10;
 constexpr std::size_t kDiscardBytes = 16 << 10;
-constexpr int kMaxWriteParts = 3;
+/// The number of chunks of the write queue that are passed to the kernel at once.
+constexpr std::size_t kMaxChunksPerWrite = 64;
 
 bool is_temporary(int error) { return error == EAGAIN || error == EINTR; }
 
 }  // namespace
 
 Connection::Connection(Loop& loop, Fd fd, bool is_connecting, Handler handler)
-    : fd_(std::move(fd)), handler_(std::move(handler)), is_connecting_(is_connecting) {
+    : fd_(std::move(fd)),
+      handler_(std::move(handler)),
+      is_connecting_(is_connecting),
+      account_(loop.buffers()) {
   const int enabled = 1;
   setsockopt(fd_.get(), IPPROTO_TCP, TCP_NODELAY, &enabled, sizeof enabled);
   watcher_ =
@@ -32,6 +35,20 @@
   update_watcher();
 }
 
+Connection::~Connection() {
+  account_.unsent -= accounted_.unsent;
+  account_.unread -= accounted_.unread;
+  account_.held -= accounted_.held;
+}
+
+void Connection::update_account() {
+  const BufferAccount current{unwritten(), unread(), held_bytes()};
+  account_.unsent += current.unsent - accounted_.unsent;
+  account_.unread += current.unread - accounted_.unread;
+  account_.held += current.held - accounted_.held;
+  accounted_ = current;
+}
+
 void Connection::update_watcher() {
   if (is_closed_) return;
   const bool reads = !is_connecting_ && !has_input_ended_ && (is_lingering_ || !is_unreadable_);
@@ -47,8 +64,8 @@
   is_closed_ = true;
   watcher_.reset();
   fd_ = Fd();
-  queue_.clear();
-  queue_position_ = 0;
+  send_queue_.clear();
+  update_account();
 }
 
 void Connection::fail(CloseReason reason) {
@@ -139,11 +156,9 @@
 // use.
 void Connection::read() {
   if (consumed_bytes_) return;
-  if (buffer_.size() - buffered_bytes_ < kMinReadBytes) {
-    buffer_.resize(std::max(buffer_.size() * 2, buffered_bytes_ + kMinReadBytes));
-  }
-  const std::size_t capacity = std::min(buffer_.size() - buffered_bytes_, kMaxReadBytes);
-  const ssize_t received = ::recv(fd_.get(), buffer_.data() + buffered_bytes_, capacity, 0);
+  const std::span<char> space = read_buffer_.prepare();
+  const ssize_t received =
+      ::recv(fd_.get(), space.data(), std::min(space.size(), kMaxReadBytes), 0);
   if (received < 0) {
     if (!is_temporary(errno)) fail(CloseReason::reset);
     return;
@@ -154,15 +169,16 @@
     return handler_.on_close(CloseReason::by_peer);
   }
   last_read_at_ = unix_now();
-  buffered_bytes_ += static_cast<std::size_t>(received);
-  const auto consumed = handler_.on_data(std::string_view(buffer_.data(), buffered_bytes_));
+  read_buffer_.commit(static_cast<std::size_t>(received));
+  const auto consumed = handler_.on_data(read_buffer_.unread());
   if (consumed < 0) return fail(CloseReason::unreadable);
   consumed_bytes_ = static_cast<std::size_t>(consumed);
+  update_account();
 }
 
 bool Connection::reoffer_unread() {
-  if (is_closed_ || consumed_bytes_ || buffered_bytes_ == 0) return false;
-  const auto consumed = handler_.on_data(std::string_view(buffer_.data(), buffered_bytes_));
+  if (is_closed_ || consumed_bytes_ || read_buffer_.unread().empty()) return false;
+  const auto consumed = handler_.on_data(read_buffer_.unread());
   if (consumed < 0) fail(CloseReason::unreadable);
   consumed_bytes_ = consumed > 0 ? static_cast<std::size_t>(consumed) : 0;
   return consumed_bytes_ > 0;
@@ -170,54 +186,57 @@
 
 void Connection::end_turn() {
   if (!consumed_bytes_) return;
-  std::memmove(buffer_.data(), buffer_.data() + consumed_bytes_, buffered_bytes_ - consumed_bytes_);
-  buffered_bytes_ -= consumed_bytes_;
-  consumed_bytes_ = 0;
-  // Most connections are idle. Releasing their empty buffers saves memory.
-  if (buffered_bytes_ == 0) std::string().swap(buffer_);
+  read_buffer_.remove_front(std::exchange(consumed_bytes_, 0));
+  update_account();
 }
 
 // ---- Writing ----
 
+// Passes the parts to the kernel without copying them. Returns the number of bytes that it has
+// accepted. An error is ignored here, because fail() must not call the owner from within write().
+// The kernel reports the error again when the socket is ready.
+std::size_t Connection::send_directly(std::span<iovec> parts) {
+  msghdr message{};
+  message.msg_iov = parts.data();
+  message.msg_iovlen = parts.size();
+  const ssize_t sent = ::sendmsg(fd_.get(), &message, MSG_NOSIGNAL);
+  return sent < 0 ? 0 : static_cast<std::size_t>(sent);
+}
+
 void Connection::write(std::string_view head, std::string_view body, std::string_view tail) {
   if (is_closed_) return;
-  std::string_view parts[kMaxWriteParts] = {head, body, tail};
   queued_total_ += head.size() + body.size() + tail.size();
+  std::array parts{head, body, tail};
   if (!is_connecting_ && unwritten() == 0) {
-    iovec buffers[kMaxWriteParts];
-    for (int i = 0; i < kMaxWriteParts; ++i) {
-      buffers[i] = {const_cast<char*>(parts[i].data()), parts[i].size()};
-    }
-    msghdr message{};
-    message.msg_iov = buffers;
-    message.msg_iovlen = kMaxWriteParts;
-    // An error is ignored here, because fail() must not call the owner from within write(). The
-    // kernel reports the error again when the socket is ready.
-    const ssize_t result = ::sendmsg(fd_.get(), &message, MSG_NOSIGNAL);
-    std::size_t sent = result < 0 ? 0 : static_cast<std::size_t>(result);
+    std::array<iovec, parts.size()> buffers;
+    std::transform(parts.begin(), parts.end(), buffers.begin(), [](std::string_view part) {
+      return iovec{const_cast<char*>(part.data()), part.size()};
+    });
+    std::size_t sent = send_directly(buffers);
     for (auto& part : parts) {
       const auto sent_of_part = std::min(part.size(), sent);
       part.remove_prefix(sent_of_part);
       sent -= sent_of_part;
     }
   }
-  for (const auto& part : parts) queue_ += part;
+  for (const auto& part : parts) send_queue_.append(part);
+  update_account();
   update_watcher();
 }
 
 void Connection::flush() {
   if (!unwritten()) return;
-  const ssize_t sent =
-      ::send(fd_.get(), queue_.data() + queue_position_, unwritten(), MSG_NOSIGNAL);
+  std::array<iovec, kMaxChunksPerWrite> buffers;
+  msghdr message{};
+  message.msg_iov = buffers.data();
+  message.msg_iovlen = send_queue_.gather(buffers);
+  const ssize_t sent = ::sendmsg(fd_.get(), &message, MSG_NOSIGNAL);
   if (sent < 0) {
     if (!is_temporary(errno)) fail(CloseReason::reset);
     return;
   }
-  queue_position_ += static_cast<std::size_t>(sent);
-  if (queue_position_ == queue_.size()) {
-    queue_position_ = 0;
-    std::string().swap(queue_);
-  }
+  send_queue_.remove_front(static_cast<std::size_t>(sent));
+  update_account();
 }
 
 std::unique_ptr<Connection> connect(Loop& loop, const sockaddr_in& address,
--- a/src/net/connection.h
+++ b/src/net/connection.h
@@ -1,17 +1,21 @@
 // A TCP connection on the event loop. It has a read buffer, whose contents stay valid until the
-// turn of the loop ends, a write queue, and counts of the bytes queued and written. Used on the
-// loop's thread only. Times are in microseconds.
+// turn of the loop ends, a write queue, and counts of the bytes queued and written. The memory of
+// both is bounded by a multiple of the bytes in them and a constant. Used on the loop's thread
+// only. Times are in microseconds.
 #pragma once
 
 #include <cstddef>
 #include <functional>
 #include <memory>
-#include <string>
+#include <span>
 #include <string_view>
 
 #include "core/deadlines.h"
 #include "net/address.h"
+#include "net/buffer_account.h"
 #include "net/loop.h"
+#include "net/read_buffer.h"
+#include "net/send_queue.h"
 
 namespace alderspur::net {
 
@@ -44,6 +48,9 @@
   };
   /// Takes ownership of a socket that is connected, or connecting if `is_connecting` is true.
   Connection(Loop& loop, Fd fd, bool is_connecting, Handler handler);
+  ~Connection();
+  Connection(const Connection&) = delete;
+  Connection& operator=(const Connection&) = delete;
 
   /// Sends the parts in this order. If the queue is empty, tries to send them in one system call
   /// and copies only the bytes that the socket does not accept into the queue.
@@ -72,10 +79,14 @@
   /// Returns whether the socket is closed.
   bool closed() const { return is_closed_; }
   /// Returns the number of bytes in the write queue.
-  std::size_t unwritten() const { return queue_.size() - queue_position_; }
+  std::size_t unwritten() const { return send_queue_.size(); }
   /// Returns the number of input bytes that were read but not consumed, for example those of an
   /// incomplete message.
-  std::size_t unread() const { return buffered_bytes_ - consumed_bytes_; }
+  std::size_t unread() const { return read_buffer_.unread().size() - consumed_bytes_; }
+  /// Returns the memory of the write queue and the read buffer, in bytes.
+  std::size_t held_bytes() const { return send_queue_.held_bytes() + read_buffer_.held_bytes(); }
+  /// Returns the total number of input bytes that were moved within the read buffer.
+  std::uint64_t moved_total() const { return read_buffer_.moved_total(); }
   /// Returns the total number of bytes passed to write().
   std::uint64_t queued_total() const { return queued_total_; }
   /// Returns the total number of bytes that the socket has accepted.
@@ -92,6 +103,8 @@
   void update_watcher();
   void shut_down_sending();
   void discard_input();
+  std::size_t send_directly(std::span<iovec> parts);
+  void update_account();
 
   Fd fd_;
   Handler handler_;
@@ -103,12 +116,12 @@
   bool has_shut_down_sending_ = false;  // only set while lingering
   std::size_t discarded_bytes_ = 0;
   std::function<void()> on_linger_end_;
-  std::string buffer_;
-  std::size_t buffered_bytes_ = 0;
-  std::size_t consumed_bytes_ = 0;  // of the buffered bytes, in this turn
-  std::string queue_;
-  std::size_t queue_position_ = 0;
+  ReadBuffer read_buffer_;
+  std::size_t consumed_bytes_ = 0;  // of the read buffer, in this turn
+  SendQueue send_queue_;
   std::uint64_t queued_total_ = 0;
+  BufferAccount& account_;   // of the loop
+  BufferAccount accounted_;  // this connection's share of it
   core::Time last_read_at_ = 0;
   std::unique_ptr<IoWatcher> watcher_;
 };
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "core/deadlines.h"
+#include "net/buffer_account.h"
 
 namespace alderspur::net {
 
@@ -72,6 +73,8 @@
   void stop();
   /// Returns the owner of the connections that are in a lingering close.
   Lingering& lingering() { return *lingering_; }
+  /// Returns the memory of the buffers of all connections on this loop.
+  BufferAccount& buffers() { return buffers_; }
 
  private:
   /// A signal with its watcher and its handler.
@@ -90,6 +93,7 @@
   ev_timer timer_{};
   std::function<void()> turn_callback_;
   std::vector<std::unique_ptr<Signal>> signals_;
+  BufferAccount buffers_;  // outlives the connections in lingering_
   std::unique_ptr<Lingering> lingering_;
 };
 
--- a/src/rpc_front/rpc_front.h
+++ b/src/rpc_front/rpc_front.h
@@ -60,6 +60,9 @@
   void set_process_count(std::uint32_t processes);
   /// Returns whether no call is open and all responses have been written to their sockets.
   bool is_idle() const;
+  /// Returns the bytes that the memory limits count: bodies of requests, responses that were not
+  /// sent yet, and incomplete messages.
+  std::size_t limited_bytes() const;
   /// Returns the listening address. Port 0 is replaced by the port that the kernel assigned.
   sockaddr_in address() const { return address_; }
 
--- a/src/rpc_front/rpc_front_limits.cpp
+++ b/src/rpc_front/rpc_front_limits.cpp
@@ -40,6 +40,10 @@
 std::size_t RpcFront::queued_bytes_limit() const { return memory_limit_ / kQueuedMemoryDivisor; }
 std::size_t RpcFront::unread_bytes_limit() const { return memory_limit_ / kUnreadMemoryDivisor; }
 
+std::size_t RpcFront::limited_bytes() const {
+  return engine_.open_request_bytes() + queued_bytes_ + unread_bytes_;
+}
+
 // ---- Connections ----
 
 // Lingering connections use descriptors as well, and they are closed before active ones.
