Answer the open calls of a client before its connection is closed

A client that had just read a long queue was closed as idle. Cause: each check looked at one state of the connection and closed it without looking at its open calls and unsent responses. Change: a client that awaits responses is not closed for being silent or idle, nor for the memory of others: its incomplete message is discarded and it is closed once it is answered. Unreadable input ends the reading only. Idle counts from the last byte that the client's side has acknowledged. A slow reader is closed when it has read nothing for 5 s and the time limits of its requests have passed, and in any case 10 s after the longest time limit. Input that waits in the middle of a message protects against the close that makes room. A client that half-closed long before it was accepted is rejected, no longer closed unanswered.

--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -1,5 +1,6 @@
 #include "net/connection.h"
 
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <sys/ioctl.h>
@@ -51,13 +52,20 @@
 
 void Connection::update_watcher() {
   if (is_closed_) return;
-  const bool reads = !is_connecting_ && !has_input_ended_ && (is_lingering_ || !is_unreadable_);
+  const bool reads = !is_connecting_ && !has_input_ended_;
   const bool writes = is_connecting_ || unwritten() > 0;
   watcher_->want((reads ? EV_READ : 0) | (writes ? EV_WRITE : 0));
 }
 
 // ---- Closing ----
 
+// The input is released when the turn ends, since views of it may still be in use in this turn.
+void Connection::stop_parsing() {
+  has_stopped_parsing_ = true;
+  consumed_bytes_ = read_buffer_.unread().size();
+  update_account();
+}
+
 // Keeps the read buffer, since views of it may still be in use in this turn.
 void Connection::close() {
   if (is_closed_) return;
@@ -72,10 +80,13 @@
   if (is_closed_) return;
   const auto on_linger_end = is_lingering_ ? std::move(on_linger_end_) : nullptr;
   const auto on_close = is_lingering_ ? nullptr : handler_.on_close;
-  is_unreadable_ = reason == CloseReason::unreadable;
-  is_closed_ = !is_unreadable_;
-  watcher_->want(0);
-  if (is_closed_) fd_ = Fd();
+  is_closed_ = reason != CloseReason::unreadable;
+  if (is_closed_) {
+    watcher_->want(0);
+    fd_ = Fd();
+  } else {
+    stop_parsing();
+  }
   if (on_linger_end) on_linger_end();
   if (on_close) on_close(reason);
 }
@@ -83,6 +94,9 @@
 void Connection::linger(std::function<void()> on_end) {
   if (is_closed_ || is_lingering_) return;
   is_lingering_ = true;
+  read_buffer_.remove_front(read_buffer_.unread().size());
+  consumed_bytes_ = 0;
+  update_account();
   has_input_ended_ = false;  // reads again, because a lingering close ends with the end of input
   on_linger_end_ = std::move(on_end);
   if (!is_connecting_ && unwritten() == 0) shut_down_sending();
@@ -103,8 +117,15 @@
     discarded_bytes_ += static_cast<std::size_t>(received);
     if (discarded_bytes_ <= kMaxLingerBytes) return;
   }
-  has_input_ended_ = received == 0;
-  if (received != 0 || has_shut_down_sending_) fail(CloseReason::by_peer);
+  if (is_lingering_) {
+    has_input_ended_ = received == 0;
+    if (received != 0 || has_shut_down_sending_) fail(CloseReason::by_peer);
+  } else if (received < 0) {
+    fail(CloseReason::reset);
+  } else {
+    has_input_ended_ = true;
+    if (received == 0) handler_.on_close(CloseReason::by_peer);
+  }
 }
 
 bool Connection::peer_ended() const {
@@ -113,6 +134,12 @@
   return ::poll(&poll_fd, 1, 0) > 0 && (poll_fd.revents & (POLLRDHUP | POLLHUP | POLLERR));
 }
 
+std::size_t Connection::unacknowledged() const {
+  int bytes = 0;
+  const bool is_known = !is_closed_ && ::ioctl(fd_.get(), SIOCOUTQ, &bytes) == 0;
+  return is_known ? static_cast<std::size_t>(bytes) : 0;
+}
+
 // ---- Reading ----
 
 bool Connection::has_input_waiting() const {
@@ -132,7 +159,7 @@
     }
   }
   if (!is_closed_ && (events & EV_READ)) {
-    if (is_lingering_) {
+    if (discards_input()) {
       discard_input();
     } else {
       read();
@@ -177,10 +204,13 @@
 }
 
 bool Connection::reoffer_unread() {
-  if (is_closed_ || consumed_bytes_ || read_buffer_.unread().empty()) return false;
+  if (is_closed_ || has_stopped_parsing_ || consumed_bytes_ || unread() == 0) return false;
   const auto consumed = handler_.on_data(read_buffer_.unread());
-  if (consumed < 0) fail(CloseReason::unreadable);
-  consumed_bytes_ = consumed > 0 ? static_cast<std::size_t>(consumed) : 0;
+  if (consumed < 0) {
+    fail(CloseReason::unreadable);
+    return false;
+  }
+  consumed_bytes_ = static_cast<std::size_t>(consumed);
   return consumed_bytes_ > 0;
 }
 
--- a/src/net/connection.h
+++ b/src/net/connection.h
@@ -26,7 +26,8 @@
   refused,     // the connection could not be established
   unreadable,  // the handler could not parse the input
 };
-/// The maximum number of input bytes that a lingering close discards.
+/// The maximum number of input bytes that are discarded. Beyond it, a lingering close ends, and
+/// another connection is no longer read.
 constexpr std::size_t kMaxLingerBytes = 1 << 20;
 
 /// Owns a socket that is connected or connecting.
@@ -39,9 +40,9 @@
     std::function<std::ptrdiff_t(std::string_view)> on_data;
     /// Called when bytes have left the write queue, and when the connection is established.
     std::function<void()> on_written;
-    /// Called once, when the connection ends other than by close() or linger(). The owner destroys
-    /// the connection after the turn. After `unreadable` no more input is read, but linger() still
-    /// sends the queued bytes.
+    /// Called when the connection ends other than by close() or linger(). After `unreadable` and
+    /// after a half-close the connection can still be written to, and a second call reports if it
+    /// ends later. After any other reason the owner destroys the connection after the turn.
     std::function<void(CloseReason)> on_close;
     /// If true, the connection can still be written to after on_close(by_peer).
     bool allows_half_close = false;
@@ -60,6 +61,9 @@
   /// Passes the input that was not consumed to on_data again. Returns whether any of it was
   /// consumed.
   bool reoffer_unread();
+  /// Discards the input that was not consumed, and all input that follows. on_data is no longer
+  /// called; on_close still is.
+  void stop_parsing();
   /// Closes the connection immediately and does not call on_close. Discards unsent bytes. If input
   /// is unread, the kernel resets the connection.
   void close();
@@ -91,6 +95,8 @@
   std::uint64_t queued_total() const { return queued_total_; }
   /// Returns the total number of bytes that the socket has accepted.
   std::uint64_t written_total() const { return queued_total_ - unwritten(); }
+  /// Returns how many of the bytes that the socket has accepted the peer has not acknowledged.
+  std::size_t unacknowledged() const;
   /// Returns the Unix time of the last input, or 0 if there was none.
   core::Time last_read_at() const { return last_read_at_; }
 
@@ -103,6 +109,7 @@
   void update_watcher();
   void shut_down_sending();
   void discard_input();
+  bool discards_input() const { return is_lingering_ || has_stopped_parsing_; }
   std::size_t send_directly(std::span<iovec> parts);
   void update_account();
 
@@ -111,7 +118,7 @@
   bool is_connecting_;
   bool is_closed_ = false;
   bool has_input_ended_ = false;
-  bool is_unreadable_ = false;
+  bool has_stopped_parsing_ = false;
   bool is_lingering_ = false;
   bool has_shut_down_sending_ = false;  // only set while lingering
   std::size_t discarded_bytes_ = 0;
--- a/src/rpc_front/rpc_client.h
+++ b/src/rpc_front/rpc_client.h
@@ -15,8 +15,8 @@
 
 /// The platform allows at most this many open calls on one connection.
 constexpr std::size_t kMaxOpenCalls = 32;
-/// A connection is closed if its client has not sent a first message, or has not continued an
-/// incomplete message, for this time.
+/// A connection without an open call is closed if its client has not sent a first message, or has
+/// not continued an incomplete message, for this time.
 constexpr core::Time kSilenceTimeout = 2'000'000;
 /// The first message of a new client is expected within this time. Until then, a graceful shutdown
 /// and the choice of an idle connection to close both spare the client.
@@ -30,18 +30,24 @@
   bool lingers = false;                // closed; its queued responses are still sent
   bool is_ending = false;              // closes once all calls are answered; new calls are rejected
   bool may_have_disconnected = false;  // waited longer than kMaxAcceptDelay to be accepted
+  bool has_disconnected = false;       // closed its sending side before it was accepted
   bool has_sent_message = false;       // sent at least one complete message
   bool has_sent_request = false;       // sent at least one request that was admitted
   core::Time accepted_at = 0;
   core::Time partial_since = 0;                   // start of an incomplete message; 0: none
-  core::Time idle_since = 0;                      // when its last open call ended, or its accept
-  core::Time last_delivery_at = 0;                // last time when bytes left the write queue
-  std::uint64_t delivered_bytes = 0;              // total bytes that have left the write queue
+  core::Time idle_since = 0;        // when its last response was delivered, or its accept
+  core::Time last_delivery_at = 0;  // last time when the client's side acknowledged bytes
+  core::Time waits_until = 0;       // the latest time until which it waits for a response
+  std::uint64_t delivered_bytes = 0;              // total bytes that it has acknowledged
   std::size_t queued_bytes = 0;                   // its share of RpcFront::queued_bytes_
   std::size_t unread_bytes = 0;                   // its share of RpcFront::unread_bytes_
   std::size_t index = 0;                          // position in clients_
   std::size_t fewest_open_calls = kMaxOpenCalls;  // minimum since the handoff began
   bool is_marked_changed = false;                 // listed in changed_clients_
+
+  /// Returns whether a call is open, or a response was not sent completely. The client would lose
+  /// the responses if its connection were closed now.
+  bool awaits_responses() const { return !open_calls.empty() || connection->unwritten() > 0; }
 };
 
 }  // namespace alderspur::rpc_front
--- a/src/rpc_front/rpc_front.cpp
+++ b/src/rpc_front/rpc_front.cpp
@@ -17,6 +17,8 @@
 /// A client that waited longer than this to be accepted, and has closed its sending side, is
 /// treated as disconnected.
 constexpr core::Time kMaxAcceptDelay = 100'000;
+/// The time that a request and the end of its response may take on their way.
+constexpr core::Time kTransmissionMargin = 100'000;
 
 }  // namespace
 
@@ -91,16 +93,19 @@
 
 // A client that closes its sending side has either disconnected or still waits for responses. So
 // the attempts in flight may complete and their responses are sent, but no further attempt starts.
+// After input that cannot be parsed, no further call can be read, but those before it are answered.
 // After a reset no response can be delivered.
 void RpcFront::on_closed(Client& client, net::CloseReason reason) {
   mark_changed(client);
   client.is_ending = true;
-  if (reason == net::CloseReason::unreadable) return close(client, CloseMode::lingering);
+  if (reason == net::CloseReason::unreadable) return;
   if (reason != net::CloseReason::by_peer) return close(client, CloseMode::immediate);
   for (const auto& [call_id, request] : client.open_calls) engine_.stop_retrying(request);
 }
 
-// Every client's connection is closed by this function, whatever the reason.
+// Every client's connection is closed by this function, whatever the reason. A client that awaits
+// responses loses them, so it is closed only if they cannot be delivered or nobody waits for them
+// any more; docs/design.md lists the cases.
 void RpcFront::close(Client& client, CloseMode mode) {
   if (client.is_closed) return;
   client.is_closed = true;
@@ -127,7 +132,7 @@
       close(*client, CloseMode::lingering);
     }
   }
-  close_oldest_partial_messages();
+  discard_oldest_partial_messages();
   for (Client* client : std::exchange(changed_clients_, {})) {
     client->is_marked_changed = false;
     if (!client->is_closed) continue;
@@ -147,11 +152,9 @@
 
 std::ptrdiff_t RpcFront::on_data(Client& client, std::string_view bytes) {
   mark_changed(client);
-  // A client that waited long to be accepted and has closed its sending side has disconnected. Its
-  // requests are read only now, and forwarding them would be of no use.
   if (std::exchange(client.may_have_disconnected, false) && client.connection->peer_ended()) {
-    close(client, CloseMode::immediate);
-    return static_cast<std::ptrdiff_t>(bytes.size());
+    client.has_disconnected = true;
+    client.is_ending = true;
   }
   const auto size_before = bytes.size();
   bool has_read_message = false;
@@ -207,11 +210,27 @@
   client.idle_since = engine_.now();
 }
 
+// A client that waited long to be accepted and has closed its sending side has most likely
+// disconnected. Its requests are read only now, and forwarding them would be of no use. They are
+// rejected, in case the client still reads, but not counted.
+void RpcFront::reject_disconnected(Client& client, std::uint64_t call_id) {
+  core::Response response;
+  response.status = core::FinalStatus::rejected;
+  reply(client, call_id, response);
+}
+
+void RpcFront::expect_response(Client& client, core::Time time_limit) {
+  client.waits_until =
+      std::max(client.waits_until, engine_.now() + time_limit + kTransmissionMargin);
+}
+
 void RpcFront::on_request(Client& client, const Call& call) {
+  if (client.has_disconnected) return reject_disconnected(client, call.id);
   const auto found = classes_.find(std::string(call.class_name));
   if (found == classes_.end()) return reject_invalid(client, call, core::kNoClass);
   const RequestClass& request_class = found->second;
   auto view = to_request_view(call, request_class.rules);
+  if (view) expect_response(client, view->time_limit);
   if (!view || engine_.conflicts_with_open_request(*view)) {
     return reject_invalid(client, call, request_class.id);
   }
@@ -230,6 +249,7 @@
 }
 
 void RpcFront::reject_invalid(Client& client, const Call& call, std::uint32_t class_id) {
+  expect_response(client, message_timeout_);
   ++engine_.counters().invalid_requests;
   engine_.log_invalid_input(core::InvalidInput::request);
   engine_.count_rejected(class_id, core::FinalStatus::failed);
--- a/src/rpc_front/rpc_front.h
+++ b/src/rpc_front/rpc_front.h
@@ -88,6 +88,8 @@
   bool on_call(Client& client, const Call& call);
   void on_cancellation(Client& client, std::uint64_t call_id);
   void on_request(Client& client, const Call& call);
+  void expect_response(Client& client, core::Time time_limit);
+  void reject_disconnected(Client& client, std::uint64_t call_id);
   void reject_invalid(Client& client, const Call& call, std::uint32_t class_id);
   void reject(Client& client, std::uint64_t call_id, std::uint32_t class_id, bool may_retry);
   void reply(Client& client, std::uint64_t call_id, const core::Response& response);
@@ -102,9 +104,11 @@
   bool has_capacity_for_call(const Client& client) const;
   void update_byte_counts(Client& client);
   void close_slow_readers(const Client& last_written);
-  void close_oldest_partial_messages();
+  void discard_oldest_partial_messages();
   void check_all_clients();
   void check_client(Client& client, core::Time now);
+  void record_delivery(Client& client, core::Time now);
+  bool is_silent(const Client& client, core::Time now) const;
   std::size_t queued_bytes_limit() const;
   std::size_t unread_bytes_limit() const;
 
--- a/src/rpc_front/rpc_front_limits.cpp
+++ b/src/rpc_front/rpc_front_limits.cpp
@@ -24,7 +24,11 @@
 constexpr core::Time kCheckInterval = 200'000;
 /// Longer than the 4 s of idle time after which the platform's own clients close a connection.
 constexpr core::Time kIdleTimeout = 5'000'000;
+/// A client that has read nothing for this time is closed once it no longer waits for any response.
 constexpr core::Time kSlowReaderTimeout = 5'000'000;
+/// A client that keeps sending requests but has read nothing for this time, added to the longest
+/// time limit of a request, is closed in any case.
+constexpr core::Time kStuckReaderTimeout = 10'000'000;
 /// An idle client is not closed to make room for a new one until this time has passed, because its
 /// next request may be in transit.
 constexpr core::Time kServedClientGrace = 250'000;
@@ -66,8 +70,9 @@
   const core::Time now = engine_.now();
   Client* best = nullptr;
   for (auto& client : clients_) {
-    if (client->is_closed || !client->open_calls.empty() || client->queued_bytes > 0) continue;
+    if (client->is_closed || client->awaits_responses()) continue;
     if (now < client->idle_since + grace(*client)) continue;
+    if (client->partial_since && !is_silent(*client, now)) continue;
     const bool is_better = !best || rank(*client) < rank(*best);
     if (is_better && !client->connection->has_input_waiting()) best = client.get();
   }
@@ -109,6 +114,7 @@
 void RpcFront::update_byte_counts(Client& client) {
   const std::size_t queued = client.is_closed ? 0 : client.connection->unwritten();
   const std::size_t unread = client.is_closed ? 0 : client.connection->unread();
+  if (queued == 0 && client.queued_bytes > 0) client.idle_since = engine_.now();
   queued_bytes_ += queued - std::exchange(client.queued_bytes, queued);
   unread_bytes_ += unread - std::exchange(client.unread_bytes, unread);
 }
@@ -124,18 +130,28 @@
   close(**slowest, CloseMode::immediate);
 }
 
-// Closes the clients with the oldest incomplete messages until all incomplete messages together fit
-// into their memory limit.
-void RpcFront::close_oldest_partial_messages() {
+// Discards the oldest incomplete messages until all incomplete messages together fit into their
+// memory limit, first those of clients that await no response. The clients are closed, once they
+// have all their responses.
+void RpcFront::discard_oldest_partial_messages() {
   const auto rank = [](const auto& client) {
-    return std::tuple(client->unread_bytes == 0, client->partial_since);
+    return std::tuple(client->unread_bytes == 0, client->awaits_responses(), client->partial_since);
   };
   while (unread_bytes_ > unread_bytes_limit()) {
     const auto oldest =
         std::min_element(clients_.begin(), clients_.end(),
                          [&](const auto& a, const auto& b) { return rank(a) < rank(b); });
+    Client& client = **oldest;
     ++engine_.counters().silent_clients;
-    close(**oldest, CloseMode::lingering);
+    if (!client.awaits_responses()) {
+      close(client, CloseMode::lingering);
+      continue;
+    }
+    client.is_ending = true;
+    client.partial_since = 0;
+    client.connection->stop_parsing();
+    client.connection->end_turn();
+    update_byte_counts(client);
   }
 }
 
@@ -149,35 +165,50 @@
   }
 }
 
+// Bytes count as delivered once the client's side has acknowledged them, since the kernel may hold
+// many of them for a client that reads slowly.
+void RpcFront::record_delivery(Client& client, core::Time now) {
+  const net::Connection& connection = *client.connection;
+  if (client.delivered_bytes == connection.queued_total()) {
+    client.last_delivery_at = now;
+    return;
+  }
+  const std::uint64_t delivered = connection.written_total() - connection.unacknowledged();
+  if (delivered != client.delivered_bytes) client.last_delivery_at = now;
+  client.delivered_bytes = delivered;
+  client.idle_since = now;
+}
+
 // A message may be long and the network may be slow. As long as parts of a message keep arriving,
 // it may take up to message_timeout_, the longest time limit of any request class.
-void RpcFront::check_client(Client& client, core::Time now) {
-  const auto delivered_bytes = client.connection->written_total();
-  if (client.queued_bytes == 0 || delivered_bytes != client.delivered_bytes) {
-    client.delivered_bytes = delivered_bytes;
-    client.last_delivery_at = now;
+bool RpcFront::is_silent(const Client& client, core::Time now) const {
+  if (!client.partial_since) {
+    return !client.has_sent_message && now > client.accepted_at + kSilenceTimeout;
   }
-  const core::Time last_heard_at = std::max(client.accepted_at, client.connection->last_read_at());
-  const bool is_message_late =
-      client.partial_since &&
-      (now > last_heard_at + kSilenceTimeout || now > client.partial_since + message_timeout_);
-  const bool is_unused = !client.has_sent_message && !client.partial_since &&
-                         now > client.accepted_at + kSilenceTimeout;
-  const bool is_silent = is_message_late || is_unused;
-  const bool is_idle = client.open_calls.empty() && client.queued_bytes == 0 &&
-                       now > client.idle_since + kIdleTimeout;
-  const bool is_slow_reader = now > client.last_delivery_at + kSlowReaderTimeout;
+  const core::Time last_active_at = std::max(client.idle_since, client.connection->last_read_at());
+  return now > last_active_at + kSilenceTimeout || now > client.partial_since + message_timeout_;
+}
+
+// Only a client that awaits no response is closed for being silent or idle. While it awaits
+// responses, it may be quiet for as long as its requests take.
+void RpcFront::check_client(Client& client, core::Time now) {
+  record_delivery(client, now);
+  const core::Time stalled_for = now - client.last_delivery_at;
+  const bool is_slow_reader = (stalled_for > kSlowReaderTimeout && now > client.waits_until) ||
+                              stalled_for > kStuckReaderTimeout + message_timeout_;
+  const bool may_close = !client.awaits_responses();
+  const bool is_idle = !client.partial_since && now > client.idle_since + kIdleTimeout;
   auto& counters = engine_.counters();
-  if (is_silent) {
+  if (is_slow_reader) {
+    ++counters.slow_readers;
+    close(client, CloseMode::immediate);
+  } else if (may_close && is_silent(client, now)) {
     ++counters.silent_clients;
-  } else if (is_idle) {
+    close(client, CloseMode::lingering);
+  } else if (may_close && is_idle) {
     ++counters.idle_clients;
-  } else if (is_slow_reader) {
-    ++counters.slow_readers;
-  } else {
-    return;
+    close(client, CloseMode::lingering);
   }
-  close(client, is_slow_reader ? CloseMode::immediate : CloseMode::lingering);
 }
 
 }  // namespace alderspur::rpc_front
