Hear a discovery server that answers late: keep its watch open beside new ones

Cause: a watch was given up 1.8 s after its connect, whatever it waited for, and the next one started from zero with the same timeout. A gap that was not filled within 1.5 s closed the watch in the same way. Change: discovery::WatchConnections. A watch that waits for its first line stays open, and another one is opened beside it every 1.8 s, four at most; the first that is answered is used. The oldest waits on while the others are replaced, with a patience that doubles from 10 to 160 s. A watch in use that falls silent is closed as before; for a gap another one is opened beside it. Why it works: a dead connection is replaced as soon as before, and a late server is heard after its own delay, because a new attempt no longer ends the earlier one.

--- a/src/discovery/discovery_client.cpp
+++ b/src/discovery/discovery_client.cpp
@@ -2,45 +2,42 @@
 
 #include <algorithm>
 #include <string>
-#include <utility>
+#include <vector>
 
 namespace alderspur::discovery {
 namespace {
 
-constexpr core::Time kMinReconnectDelay = 50'000;
-constexpr core::Time kMaxReconnectDelay = 350'000;
-constexpr core::Time kLivenessCheckInterval = 250'000;
-/// The connection is closed after this time without data. The server sends a line every second.
-constexpr core::Time kSilenceTimeout = 1'800'000;
+constexpr core::Time kGapCheckInterval = 250'000;
 /// Missing events that do not arrive within this time are requested again on a new connection.
 constexpr core::Time kGapTimeout = 1'500'000;
-constexpr std::size_t kMaxLineBytes = 1 << 20;
 /// Maximum number of events that are applied while an earlier one is missing. Beyond it, the client
 /// stops waiting for the missing event.
 constexpr std::size_t kMaxAppliedBeyondGap = 4096;
 
 }  // namespace
 
-core::Time reconnect_delay(std::mt19937_64& random) {
-  return std::uniform_int_distribution<core::Time>(kMinReconnectDelay, kMaxReconnectDelay)(random);
-}
-
 DiscoveryClient::DiscoveryClient(net::Loop& loop, core::Deadlines& deadlines, core::Engine& engine,
                                  EndpointSink& sink, const config::Config& config)
-    : loop_(loop),
-      deadlines_(deadlines),
+    : deadlines_(deadlines),
       engine_(engine),
       sink_(sink),
       config_(config),
-      random_(config.seed) {
+      connections_(loop, deadlines, config.seed, watch_callbacks()) {
   for (const auto& event : config.known_events) apply(event);
   applied_up_to_ = std::max(applied_up_to_, config.known_event_number);
   applied_beyond_gap_.clear();
   if (const auto address = net::parse_address(config.discovery_address)) {
-    address_ = *address;
-    connect();
-    check_liveness();
+    connections_.watch(*address);
   }
+  check_gap();
+}
+
+WatchConnections::Callbacks DiscoveryClient::watch_callbacks() {
+  return {[this] { return engine_.now(); }, [this] { return applied_up_to_; },
+          [this](std::string_view line) { on_line(line); },
+          [this](std::string_view bytes) {
+            engine_.log_invalid_input(core::InvalidInput::watch_event, bytes);
+          }};
 }
 
 // ---- Events ----
@@ -90,79 +87,28 @@
   sink_.update_endpoints(event.is_complete, members);
 }
 
-// ---- Connection ----
-
-void DiscoveryClient::connect() {
-  net::Connection::Handler handler;
-  handler.on_data = [this](std::string_view bytes) { return on_data(bytes); };
-  handler.on_close = [this](net::CloseReason) { reconnect_later(); };
-  connection_ = net::connect(loop_, address_, std::move(handler));
-  last_data_at_ = engine_.now();
-  if (!connection_) return reconnect_later();
-  connection_->write("watch " + std::to_string(applied_up_to_) + "\n");
-}
-
-void DiscoveryClient::close_connection() {
-  if (!connection_) return;
-  connection_->close();
-  closed_connections_.push_back(std::move(connection_));
-}
-
-// Closes the connection and schedules a reconnect, unless one is already scheduled.
-void DiscoveryClient::reconnect_later() {
-  close_connection();
-  if (reconnect_timer_) return;
-  reconnect_timer_ = deadlines_.set(engine_.now() + reconnect_delay(random_), [this] {
-    reconnect_timer_.reset();
-    connect();
-  });
-}
+// ---- Watch ----
 
-// The old connection is always closed, even if it still works, because the old server sends nothing
-// more but may keep its connections open for seconds. The new server continues the numbers and
-// therefore also sends events that are missing from the old server's watch.
+// The new server continues the numbers of the old one and therefore also sends events that are
+// missing from the old server's watch.
 bool DiscoveryClient::reconfigure(const config::Config& new_config) {
   const auto address = net::parse_address(new_config.discovery_address);
   if (!address) return false;
   for (const auto& event : new_config.known_events) apply(event);
-  const bool is_first_address = !address_.sin_port;
-  address_ = *address;
-  if (reconnect_timer_) deadlines_.cancel(*reconnect_timer_);
-  reconnect_timer_.reset();
   gap_since_ = 0;
-  close_connection();
-  connect();
-  if (is_first_address) check_liveness();
+  connections_.watch(*address);
   return true;
 }
 
-// Reconnects if the server has sent nothing for kSilenceTimeout. A server that has stopped sending
-// may leave its connection open, and drains and purges would be missed. Also reconnects if a gap
-// has not been filled within kGapTimeout.
-void DiscoveryClient::check_liveness() {
+// Requests events that are missing, and do not arrive, on another watch. The watch in use stays
+// open until the new one is answered.
+void DiscoveryClient::check_gap() {
   const core::Time now = engine_.now();
-  if (connection_ && now > last_data_at_ + kSilenceTimeout) reconnect_later();
-  if (connection_ && gap_since_ && now > gap_since_ + kGapTimeout) {
+  if (gap_since_ && now > gap_since_ + kGapTimeout) {
     gap_since_ = 0;
-    reconnect_later();
-  }
-  deadlines_.set(now + kLivenessCheckInterval, [this] { check_liveness(); });
-}
-
-std::ptrdiff_t DiscoveryClient::on_data(std::string_view bytes) {
-  const auto size_before = bytes.size();
-  last_data_at_ = engine_.now();
-  for (auto end = bytes.find('\n'); end != std::string_view::npos; end = bytes.find('\n')) {
-    std::string_view line = bytes.substr(0, end);
-    bytes.remove_prefix(end + 1);
-    if (line.ends_with('\r')) line.remove_suffix(1);
-    on_line(line);
-  }
-  if (bytes.size() > kMaxLineBytes) {
-    engine_.log_invalid_input(core::InvalidInput::watch_event, bytes);
-    return -1;
+    connections_.watch_again();
   }
-  return static_cast<std::ptrdiff_t>(size_before - bytes.size());
+  deadlines_.set(now + kGapCheckInterval, [this] { check_gap(); });
 }
 
 // Handles one line from the server: applies its event and checks whether earlier events are
@@ -181,13 +127,8 @@
   if (highest_number <= applied_up_to_) {
     gap_since_ = 0;
   } else if (!gap_since_) {
-    gap_since_ = last_data_at_;
+    gap_since_ = engine_.now();
   }
 }
 
-void DiscoveryClient::end_turn() {
-  closed_connections_.clear();
-  if (connection_) connection_->end_turn();
-}
-
 }  // namespace alderspur::discovery
--- a/src/discovery/discovery_client.h
+++ b/src/discovery/discovery_client.h
@@ -8,29 +8,18 @@
 // least one line per second.
 #pragma once
 
-#include <cstddef>
 #include <cstdint>
 #include <map>
-#include <memory>
-#include <optional>
-#include <random>
 #include <set>
 #include <string_view>
-#include <vector>
 
 #include "config/config.h"
 #include "core/engine.h"
 #include "discovery/endpoint_sink.h"
-#include "net/connection.h"
+#include "discovery/watch_connections.h"
 
 namespace alderspur::discovery {
 
-/// Returns a random delay, in microseconds, before the next connection to the discovery server.
-/// Each router must seed `random` differently. Without the random delay, all routers would
-/// reconnect at the same moment after the server closes its connections, and again after each
-/// refused connect.
-core::Time reconnect_delay(std::mt19937_64& random);
-
 /// Keeps a watch open, and passes endpoint updates to the sink and purges to the engine.
 class DiscoveryClient {
  public:
@@ -42,30 +31,22 @@
   /// The new watch continues after the last number that was applied. Returns false and changes
   /// nothing if the address of the discovery server is not valid.
   bool reconfigure(const config::Config& new_config);
-  /// Releases the read buffer and the connections that were closed in this turn of the event loop.
+  /// Releases the read buffers and the connections that were closed in this turn of the event loop.
   /// Call this at the end of each turn.
-  void end_turn();
+  void end_turn() { connections_.end_turn(); }
 
  private:
   void apply(const config::WatchEvent& event);
   void advance_applied(std::uint64_t number);
   void apply_endpoints(const config::WatchEvent& event);
-  void connect();
-  void reconnect_later();
-  void close_connection();
-  void check_liveness();
-  std::ptrdiff_t on_data(std::string_view bytes);
+  WatchConnections::Callbacks watch_callbacks();
+  void check_gap();
   void on_line(std::string_view line);
 
-  net::Loop& loop_;
   core::Deadlines& deadlines_;
   core::Engine& engine_;
   EndpointSink& sink_;
   const config::Config& config_;
-  sockaddr_in address_{};
-  std::unique_ptr<net::Connection> connection_;
-  /// Destroyed at the end of the turn, since one of their callbacks may be running.
-  std::vector<std::unique_ptr<net::Connection>> closed_connections_;
   std::uint64_t applied_up_to_ = 0;  // all events up to this number were applied
   /// The numbers of events that were applied although an earlier event is missing.
   std::set<std::uint64_t> applied_beyond_gap_;
@@ -77,10 +58,8 @@
   /// The last update that was applied to each endpoint, stored only while there is a gap.
   std::map<alderspur::ServerId, AppliedMember> applied_members_;
   std::uint64_t last_complete_list_ = 0;  // number of the last event with a complete list
-  core::Time last_data_at_ = 0;
-  core::Time gap_since_ = 0;  // when an event was found to be missing; 0: no gap
-  std::optional<core::Deadlines::Key> reconnect_timer_;
-  std::mt19937_64 random_;
+  core::Time gap_since_ = 0;              // when an event was found to be missing; 0: no gap
+  WatchConnections connections_;
 };
 
 }  // namespace alderspur::discovery
