Admit a call only if its response fits into the memory, close no client for it

What callers saw: clients within all limits that sent up to 30 requests at once for objects of 240,000 bytes were closed as slow readers, and the requests that the router had admitted were never answered. Cause: admission counted the bytes queued now, not the responses that admitted requests would bring. A burst was admitted whole, and the connection with most unsent bytes was closed for it. Change: each admitted call reserves the expected size of its response: the size that the request names at the deployment's transfer rate (flow_bytes_per_s), else from earlier responses of its class. What does not fit into a quarter of the memory is rejected at once. A larger response that does not fit fails, and the counters say so. What was admitted before a second process halved the memory is still sent. Why it works: the sum of expected and unsent responses is bounded at admission, where a rejection is harmless; connections are closed only beyond a bound that responses cannot reach.

--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -14,7 +14,8 @@
 constexpr std::uint32_t kMaxDescriptors = 1 << 20;
 
 // The platform's field names: "board" is the address of the service discovery server, "operator"
-// the address for operators' calls, and "sockets" the limit on descriptors. "known" holds the most
+// the address for operators' calls, "sockets" the limit on descriptors, and "flow_bytes_per_s" the
+// maximum transfer rate of a response body. "known" holds the most
 // recent events of service discovery ("notices") and the number up to which they cover all events
 // ("rev").
 
@@ -23,6 +24,7 @@
   config.listen = to_text(member(value, "listen"));
   config.discovery_address = to_text(member(value, "board"));
   config.operators_address = to_text(member(value, "operator"));
+  config.transfer_bytes_per_second = to_double(member(value, "flow_bytes_per_s"));
   config.seed = parse_hex(to_text(member(value, "seed"))).value_or(0);
   const JsonValue& limits = member(value, "limits");
   const auto default_memory = static_cast<std::uint32_t>(config.memory_mb);
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -27,6 +27,8 @@
   std::uint64_t seed = 0;         // of all random choices of this router
   std::size_t memory_mb = 192;    // limit on the memory of this router
   int max_descriptors = 1024;     // limit on open file descriptors
+  /// The maximum transfer rate of a response body; 0: unknown.
+  double transfer_bytes_per_second = 0;
   alderspur::Settings settings;
   Names names;
   std::int64_t connect_timeout = 400'000;
--- a/src/core/engine.h
+++ b/src/core/engine.h
@@ -153,6 +153,9 @@
   void stop_retrying(RequestHandle request);
   /// Counts a request that a front answered itself, as rejected or failed, without admitting it.
   void count_rejected(std::uint32_t class_id, FinalStatus status);
+  /// Counts a request as failed that the engine has counted as served, because its front could not
+  /// send the response.
+  void count_undelivered(std::uint32_t class_id);
   /// Returns whether an open request has the same id but another object, so that a response to one
   /// could be mistaken for a response to the other.
   bool conflicts_with_open_request(const RequestView& view) const;
--- a/src/core/engine_requests.cpp
+++ b/src/core/engine_requests.cpp
@@ -63,6 +63,12 @@
   count_unserved(class_id, status);
 }
 
+void Engine::count_undelivered(std::uint32_t class_id) {
+  --counters_.served;
+  if (class_id < class_counters_.size()) --class_counters_[class_id].served;
+  count_unserved(class_id, FinalStatus::failed);
+}
+
 void Engine::cancel_request(RequestHandle request) {
   waiting_events_.push_back({alderspur::ClientGone{{request}}, request, 0, {}});
 }
--- a/src/rpc_front/rpc_client.h
+++ b/src/rpc_front/rpc_client.h
@@ -34,14 +34,14 @@
   bool has_sent_message = false;       // sent at least one complete message
   bool has_sent_request = false;       // sent at least one request that was admitted
   core::Time accepted_at = 0;
-  core::Time partial_since = 0;                   // start of an incomplete message; 0: none
-  core::Time idle_since = 0;        // when its last response was delivered, or its accept
-  core::Time last_delivery_at = 0;  // last time when the client's side acknowledged bytes
-  core::Time waits_until = 0;       // the latest time until which it waits for a response
-  std::uint64_t delivered_bytes = 0;              // total bytes that it has acknowledged
-  std::size_t queued_bytes = 0;                   // its share of RpcFront::queued_bytes_
-  std::size_t unread_bytes = 0;                   // its share of RpcFront::unread_bytes_
-  std::size_t index = 0;                          // position in clients_
+  core::Time partial_since = 0;       // start of an incomplete message; 0: none
+  core::Time idle_since = 0;          // when its last response was delivered, or its accept
+  core::Time last_delivery_at = 0;    // last time when the client's side acknowledged bytes
+  core::Time waits_until = 0;         // the latest time until which it waits for a response
+  std::uint64_t delivered_bytes = 0;  // total bytes that it has acknowledged
+  std::size_t queued_bytes = 0;       // its share of RpcFront::queued_bytes_
+  std::size_t unread_bytes = 0;       // its share of RpcFront::unread_bytes_
+  std::size_t index = 0;              // position in clients_
   std::size_t fewest_open_calls = kMaxOpenCalls;  // minimum since the handoff began
   bool is_marked_changed = false;                 // listed in changed_clients_
 
--- a/src/rpc_front/rpc_front.cpp
+++ b/src/rpc_front/rpc_front.cpp
@@ -28,6 +28,7 @@
       deadlines_(deadlines),
       engine_(engine),
       config_(config),
+      response_sizes_(config),
       max_clients_(static_cast<std::size_t>(config.max_descriptors) / 2),
       memory_limit_(config.memory_mb << 20),
       message_timeout_(kSilenceTimeout) {
@@ -115,7 +116,7 @@
   if (!client.lingers) client.connection->close();
   update_byte_counts(client);
   for (const auto& [call_id, request] : client.open_calls) {
-    open_calls_.erase(request);
+    end_call(request);
     engine_.cancel_request(request);
   }
   client.open_calls.clear();
@@ -205,7 +206,7 @@
   const auto found = client.open_calls.find(call_id);
   if (found == client.open_calls.end()) return;  // the response has already been sent
   engine_.cancel_request(found->second);
-  open_calls_.erase(found->second);
+  end_call(found->second);
   client.open_calls.erase(found);
   client.idle_since = engine_.now();
 }
@@ -240,12 +241,16 @@
   if (engine_.is_open(view->id)) {
     return reject(client, call.id, request_class.id, request_class.rules.may_repeat_anywhere);
   }
-  if (!has_capacity_for_call(client)) return reject(client, call.id, request_class.id, true);
   view->class_id = request_class.id;
+  const std::size_t expected_bytes = response_sizes_.estimate(*view);
+  if (!has_capacity_for_call(client, expected_bytes)) {
+    return reject(client, call.id, request_class.id, true);
+  }
   const core::RequestHandle request = engine_.admit(*this, *view);
   client.open_calls[call.id] = request;
   client.has_sent_request = true;
-  open_calls_[request] = {&client, call.id};
+  open_calls_[request] = {&client, call.id, request_class.id, expected_bytes};
+  expected_bytes_ += expected_bytes;
 }
 
 void RpcFront::reject_invalid(Client& client, const Call& call, std::uint32_t class_id) {
@@ -272,14 +277,28 @@
 
 // ---- Responses ----
 
+RpcFront::OpenCall RpcFront::end_call(core::RequestHandle request) {
+  const auto node = open_calls_.extract(request);
+  if (node.empty()) return {};
+  expected_bytes_ -= node.mapped().expected_bytes;
+  return node.mapped();
+}
+
+// A response that is larger than expected may not fit into the memory limit. Its request fails
+// then, which costs the client this response but not its connection with all others.
 void RpcFront::respond(core::RequestHandle request, const core::Response& response) {
-  const auto found = open_calls_.find(request);
-  if (found == open_calls_.end()) return;  // the call was cancelled or the connection closed
-  const OpenCall call = found->second;
-  open_calls_.erase(found);
+  const OpenCall call = end_call(request);
+  if (!call.client) return;  // the call was cancelled or the connection closed
   call.client->open_calls.erase(call.call_id);
   call.client->idle_since = engine_.now();
-  reply(*call.client, call.call_id, response);
+  if (response.status != core::FinalStatus::served) {
+    return reply(*call.client, call.call_id, response);
+  }
+  response_sizes_.record(call.class_id, response.body.size());
+  if (has_memory_for_response(response)) return reply(*call.client, call.call_id, response);
+  ++engine_.counters().over_limit;
+  engine_.count_undelivered(call.class_id);
+  reply(*call.client, call.call_id, {});
 }
 
 void RpcFront::reply(Client& client, std::uint64_t call_id, const core::Response& response) {
--- a/src/rpc_front/rpc_front.h
+++ b/src/rpc_front/rpc_front.h
@@ -16,6 +16,7 @@
 #include "core/engine.h"
 #include "net/connection.h"
 #include "net/listener.h"
+#include "rpc_front/response_size.h"
 #include "rpc_front/rpc_codec.h"
 
 namespace alderspur::rpc_front {
@@ -60,8 +61,8 @@
   void set_process_count(std::uint32_t processes);
   /// Returns whether no call is open and all responses have been written to their sockets.
   bool is_idle() const;
-  /// Returns the bytes that the memory limits count: bodies of requests, responses that were not
-  /// sent yet, and incomplete messages.
+  /// Returns the bytes that the memory limits count: bodies of requests, responses that are
+  /// expected or were not sent yet, and incomplete messages.
   std::size_t limited_bytes() const;
   /// Returns the listening address. Port 0 is replaced by the port that the kernel assigned.
   sockaddr_in address() const { return address_; }
@@ -77,6 +78,8 @@
   struct OpenCall {
     Client* client = nullptr;
     std::uint64_t call_id = 0;
+    std::uint32_t class_id = 0;
+    std::size_t expected_bytes = 0;  // of the response; counted in expected_bytes_
   };
   /// `lingering` sends the queued responses first; `immediate` discards them.
   enum class CloseMode { lingering, immediate };
@@ -92,6 +95,7 @@
   void reject_disconnected(Client& client, std::uint64_t call_id);
   void reject_invalid(Client& client, const Call& call, std::uint32_t class_id);
   void reject(Client& client, std::uint64_t call_id, std::uint32_t class_id, bool may_retry);
+  OpenCall end_call(core::RequestHandle request);
   void reply(Client& client, std::uint64_t call_id, const core::Response& response);
   void on_closed(Client& client, net::CloseReason reason);
   void close(Client& client, CloseMode mode);
@@ -101,7 +105,8 @@
   // Timeouts and limits.
   bool may_accept();
   bool close_idlest_client();
-  bool has_capacity_for_call(const Client& client) const;
+  bool has_capacity_for_call(const Client& client, std::size_t expected_bytes) const;
+  bool has_memory_for_response(const core::Response& response) const;
   void update_byte_counts(Client& client);
   void close_slow_readers(const Client& last_written);
   void discard_oldest_partial_messages();
@@ -109,6 +114,8 @@
   void check_client(Client& client, core::Time now);
   void record_delivery(Client& client, core::Time now);
   bool is_silent(const Client& client, core::Time now) const;
+  std::size_t admission_limit() const;
+  std::size_t response_limit() const;
   std::size_t queued_bytes_limit() const;
   std::size_t unread_bytes_limit() const;
 
@@ -124,6 +131,7 @@
   core::Engine& engine_;
   const config::Config& config_;
   std::unordered_map<std::string, RequestClass> classes_;
+  ResponseSizeEstimator response_sizes_;
   std::size_t max_clients_;
   std::size_t memory_limit_;
   core::Time message_timeout_;  // for a whole message, even one that arrives steadily
@@ -131,6 +139,8 @@
   std::vector<Client*> changed_clients_;  // changed in this turn, each listed once; for end_turn()
   std::size_t client_count_ = 0;          // clients that are not closed
   std::size_t queued_bytes_ = 0;          // bytes of responses that were not sent yet
+  std::size_t expected_bytes_ = 0;        // bytes of the responses to open calls
+  std::size_t granted_bytes_ = 0;         // of admitted requests when the memory limit was lowered
   std::size_t unread_bytes_ = 0;          // bytes of incomplete messages
   std::unordered_map<core::RequestHandle, OpenCall> open_calls_;
   bool is_handing_off_ = false;
--- a/src/rpc_front/rpc_front_limits.cpp
+++ b/src/rpc_front/rpc_front_limits.cpp
@@ -11,15 +11,18 @@
 namespace {
 
 /// Limits on the unsent response bytes of one client. Above the first limit, its new calls are
-/// rejected. Above the second limit, its connection is closed; 32 responses of 240,000 bytes fit.
-/// Backpressure by not reading from the client is no alternative: its cancellations and the end of
-/// its connection would then go unnoticed.
+/// rejected. Above the second limit, its connection is closed. A client that keeps to the protocol
+/// cannot reach it, since 32 responses of 240,000 bytes fit. Backpressure by not reading from the
+/// client is no alternative: its cancellations and the end of its connection would then go
+/// unnoticed.
 constexpr std::size_t kMaxQueueBytesForNewCalls = 2 << 20;
 constexpr std::size_t kMaxQueueBytes = 12 << 20;
-/// The divisors that give the fraction of the memory limit for request bodies and responses, and
-/// the fraction for incomplete messages. The fractions are small because a buffer may be twice as
-/// large as its content.
-constexpr std::size_t kQueuedMemoryDivisor = 4;
+/// The divisors that give fractions of the memory limit. Calls are admitted while the bodies of the
+/// open requests and all responses, expected and unsent ones, fit into the first. The second is the
+/// margin for responses that are larger than expected, and once more for replies without a body,
+/// which only clients that never read can add up to so much. The last is for incomplete messages.
+constexpr std::size_t kAdmissionMemoryDivisor = 4;
+constexpr std::size_t kMarginMemoryDivisor = 32;
 constexpr std::size_t kUnreadMemoryDivisor = 16;
 constexpr core::Time kCheckInterval = 200'000;
 /// Longer than the 4 s of idle time after which the platform's own clients close a connection.
@@ -41,11 +44,18 @@
 
 }  // namespace
 
-std::size_t RpcFront::queued_bytes_limit() const { return memory_limit_ / kQueuedMemoryDivisor; }
+std::size_t RpcFront::admission_limit() const { return memory_limit_ / kAdmissionMemoryDivisor; }
+// What was admitted before the limit was lowered may still be sent.
+std::size_t RpcFront::response_limit() const {
+  return std::max(admission_limit(), granted_bytes_) + memory_limit_ / kMarginMemoryDivisor;
+}
+std::size_t RpcFront::queued_bytes_limit() const {
+  return response_limit() + memory_limit_ / kMarginMemoryDivisor;
+}
 std::size_t RpcFront::unread_bytes_limit() const { return memory_limit_ / kUnreadMemoryDivisor; }
 
 std::size_t RpcFront::limited_bytes() const {
-  return engine_.open_request_bytes() + queued_bytes_ + unread_bytes_;
+  return engine_.open_request_bytes() + queued_bytes_ + expected_bytes_ + unread_bytes_;
 }
 
 // ---- Connections ----
@@ -94,6 +104,7 @@
   const std::size_t usable = std::max(kMinDescriptors, share - std::min(share, kOwnDescriptors));
   max_clients_ = processes > 1 ? usable / 2 : descriptors / 2;
   memory_limit_ = (config_.memory_mb << 20) / processes;
+  granted_bytes_ = std::max(granted_bytes_, queued_bytes_ + expected_bytes_);
   while (client_count_ > max_clients_ && close_idlest_client()) {
   }
   loop_.lingering().make_room(client_count_, max_clients_);
@@ -104,11 +115,16 @@
 
 // These limits belong to this process, not to the service behind it. A call that exceeds them has
 // not been executed, so a retry is safe. While draining, a new call could not be completed in time.
-bool RpcFront::has_capacity_for_call(const Client& client) const {
+bool RpcFront::has_capacity_for_call(const Client& client, std::size_t expected_bytes) const {
   if (is_draining_ || client.is_ending) return false;
   if (client.queued_bytes > kMaxQueueBytesForNewCalls) return false;
   if (client.open_calls.size() >= kMaxOpenCalls) return false;
-  return engine_.open_request_bytes() + queued_bytes_ <= queued_bytes_limit();
+  return engine_.open_request_bytes() + queued_bytes_ + expected_bytes_ + expected_bytes <=
+         admission_limit();
+}
+
+bool RpcFront::has_memory_for_response(const core::Response& response) const {
+  return queued_bytes_ + response.body.size() <= response_limit();
 }
 
 void RpcFront::update_byte_counts(Client& client) {
@@ -119,8 +135,9 @@
   unread_bytes_ += unread - std::exchange(client.unread_bytes, unread);
 }
 
-// Closes the client with the most unsent bytes if a limit on unsent bytes is exceeded. Otherwise
-// slow readers, or many readers, would use up the memory that all clients share.
+// Closes the client with the most unsent bytes if a limit on unsent bytes is exceeded. Responses to
+// admitted calls stay below the limits, but clients that send calls without end and never read
+// would use up the memory with replies that reject these calls.
 void RpcFront::close_slow_readers(const Client& last_written) {
   if (last_written.queued_bytes <= kMaxQueueBytes && queued_bytes_ <= queued_bytes_limit()) return;
   const auto slowest = std::max_element(
@@ -160,6 +177,7 @@
 void RpcFront::check_all_clients() {
   const core::Time now = engine_.now();
   deadlines_.set(now + kCheckInterval, [this] { check_all_clients(); });
+  if (queued_bytes_ + expected_bytes_ <= admission_limit()) granted_bytes_ = 0;
   for (auto& client : clients_) {
     if (!client->is_closed) check_client(*client, now);
   }
