Confirm a ban only from the disk, which another process may have changed

Change: every call goes through the change under the directory's lock. It starts from the newest list and writes only if the list does not hold the change yet. Why it works: the answer comes from the record that all processes share; until then the change is pending in this process, so no list that is polled meanwhile undoes it.

--- a/src/admin/router_admin_handler.cpp
+++ b/src/admin/router_admin_handler.cpp
@@ -58,6 +58,8 @@
   return versions_handler_(path, query, body);
 }
 
+// Also a change that is in effect already as far as this process knows is confirmed only from the
+// disk, since another process of this router may have changed the ban meanwhile.
 void RouterAdminHandler::change_ban(std::string_view server, bool is_banned, ReplyCallback done) {
   const std::string name(server);
   const bool is_valid_name = core::is_plain_word(server);
@@ -66,14 +68,10 @@
     done({404, "no cache with this name is listed\n"});
     return;
   }
-  if (was_banned != is_banned && hot_restart_.is_full()) {
+  if (!hot_restart_.has_room_for({name, is_banned})) {
     done({503, "too many ban changes are waiting for the disk; retry later\n"});
     return;
   }
-  if (was_banned == is_banned && hot_restart_.is_saved(name)) {
-    done(ban_reply({name, is_banned}));
-    return;
-  }
   save_ban({name, is_banned}, std::move(done));
 }
 
--- a/src/hot_restart/ban_store.cpp
+++ b/src/hot_restart/ban_store.cpp
@@ -113,6 +113,11 @@
   return !contains(failed_, server) && !contains(pending_, server);
 }
 
+bool BanStore::has_room_for(const BanChange& change) const {
+  if (pending_.size() >= kMaxPendingChanges) return false;
+  return !change.is_banned || is_banned(change.server) || reported_.size() < kMaxBans;
+}
+
 std::vector<BanChange> BanStore::take_effective_changes() {
   std::set<std::string> effective = saved_list_.servers;
   for (const auto* changes : {&failed_, &pending_}) {
--- a/src/hot_restart/ban_store.h
+++ b/src/hot_restart/ban_store.h
@@ -68,10 +68,8 @@
   std::vector<BanChange> take_effective_changes();
   /// Returns the newest list that is known to be stored on the disk.
   const BanList& saved_list() const { return saved_list_; }
-  /// Reports whether no further change can be accepted at present.
-  bool is_full() const {
-    return pending_.size() >= kMaxPendingChanges || reported_.size() >= kMaxBans;
-  }
+  /// Reports whether the change can be accepted at present.
+  bool has_room_for(const BanChange& change) const;
   /// Makes failed changes pending again, up to kMaxPendingChanges in total, and returns them.
   std::vector<BanChange> retry_failed_changes();
 
--- a/src/hot_restart/coordinator.h
+++ b/src/hot_restart/coordinator.h
@@ -93,8 +93,8 @@
   bool is_banned(const std::string& server) const { return bans_.is_banned(server); }
   /// Reports whether every change of this server is stored on the disk.
   bool is_saved(const std::string& server) const { return bans_.is_saved(server); }
-  /// Reports whether no further change can be accepted at present.
-  bool is_full() const { return bans_.is_full(); }
+  /// Reports whether the change can be accepted at present.
+  bool has_room_for(const BanChange& change) const { return bans_.has_room_for(change); }
 
  private:
   /// The result of one poll by the worker thread, with the status that the poll published.
--- a/src/hot_restart/shared_directory.cpp
+++ b/src/hot_restart/shared_directory.cpp
@@ -173,7 +173,10 @@
     return {{}, store::errno_error(store::FileFault::lock_failed, path_of(kLockFile))};
   }
   BanList next = read_bans().list;
-  if (known.serial > next.serial) next = known;
+  const bool is_disk_newest = next.serial >= known.serial;
+  if (!is_disk_newest) next = known;
+  const bool changes_nothing = next.servers.contains(change.server) == change.is_banned;
+  if (is_disk_newest && changes_nothing) return {std::move(next), {}};
   apply_change(change, next.servers);
   ++next.serial;
   auto error = write_bans(next);
--- a/src/hot_restart/shared_directory.h
+++ b/src/hot_restart/shared_directory.h
@@ -89,8 +89,8 @@
 
   /// Reads both files and returns the list with the higher serial number.
   BanReadResult read_bans() const;
-  /// Applies the change to the newer of `known` and the list on the disk, and writes the result.
-  /// Holds the file lock meanwhile.
+  /// Applies the change to the newer of `known` and the list on the disk, and writes the result
+  /// unless the disk holds it already. Holds the file lock meanwhile.
   BanChangeResult change_ban(const BanList& known, const BanChange& change);
   /// Writes `known` to the disk if the list there is older or damaged.
   std::optional<SharedDirectoryError> restore_bans(const BanList& known);
--- a/tests/hot_restart/ban_store_test.cpp
+++ b/tests/hot_restart/ban_store_test.cpp
@@ -36,7 +36,7 @@
 // A BanStore and a simulated disk whose saves finish in the order in which they began.
 struct SimulatedStore {
   void begin_change(const std::string& server, bool is_banned) {
-    if (store.is_full()) return;
+    if (!store.has_room_for({server, is_banned})) return;
     last_requested[server] = is_banned;
     store.begin_change({server, is_banned});
     saves.push_back({server, is_banned});
--- a/tests/hot_restart/coordinator_test.cpp
+++ b/tests/hot_restart/coordinator_test.cpp
@@ -14,6 +14,7 @@
 #include <string>
 #include <vector>
 
+#include "admin/router_admin_handler.h"
 #include "config/config.h"
 #include "edge_router/edge_router.h"
 #include "hot_restart/shared_directory_fixture.h"
@@ -111,6 +112,49 @@
   EXPECT_TRUE(run_until([&] { return coordinator->is_saved("s-1"); }));
 }
 
+// Guards against a ban that a process confirms because it is in effect as far as it knows, although
+// another process of the router has lifted it since.
+TEST_F(HotRestartCoordinatorTest, ConfirmsABanOnlyIfTheDiskHoldsIt) {
+  const auto old_process = start(directory);
+  const auto new_process = start(directory);
+  int saved = 0;
+  const auto count_saved = [&](const auto& error) { saved += !error; };
+  old_process->change_ban({"s-1", true}, count_saved);
+  ASSERT_TRUE(run_until([&] { return saved == 1; }));
+  new_process->start_serving();  // starts a poll
+  ASSERT_TRUE(run_until([&] { return new_process->is_banned("s-1"); }));
+  old_process->change_ban({"s-1", false}, count_saved);
+  ASSERT_TRUE(run_until([&] { return saved == 2; }));
+  ASSERT_TRUE(new_process->is_banned("s-1")) << "it has not polled since";
+
+  core::Engine engine({}, 1, deadlines, net::unix_now);
+  admin::RouterAdminHandler handler(deadlines, engine, *new_process, {},
+                                    {[] { return false; }, [](std::string_view) { return true; }});
+  for (const bool is_banned : {true, false}) {
+    int status = 0;
+    handler.change_ban("s-1", is_banned,
+                       [&](const admin::HttpReply& reply) { status = reply.status; });
+    ASSERT_TRUE(run_until([&] { return status != 0; }));
+    EXPECT_EQ(status, 200);
+    EXPECT_EQ(process().read_bans().list.servers.contains("s-1"), is_banned);
+    new_process->start_draining();  // starts a poll
+    run_until([end = net::unix_now() + 50'000] { return net::unix_now() >= end; });
+    EXPECT_EQ(new_process->is_banned("s-1"), is_banned);
+  }
+}
+
+// A repeated change is confirmed without another write.
+TEST_F(HotRestartCoordinatorTest, WritesNothingWhenTheDiskHoldsTheBanAlready) {
+  auto first = process();
+  const auto bans = first.change_ban({}, {"s-1", true}).list;
+  EXPECT_EQ(first.change_ban({}, {"s-1", true}).list, bans);
+  EXPECT_EQ(first.change_ban(bans, {"s-2", false}).list, bans);
+  std::filesystem::remove(path_of(".bans.a"));
+  std::filesystem::remove(path_of(".bans.b"));
+  EXPECT_EQ(first.change_ban(bans, {"s-1", true}).list.servers, bans.servers);
+  EXPECT_EQ(process().read_bans().list.servers, bans.servers) << "the disk had lost the list";
+}
+
 // The coordinator calls its first callback while the router is still being constructed. Guards
 // against the use of members that are not initialized yet, which would make the result depend on
 // the previous content of the memory.
