Say no for a ban that other routers reject because of a clock

What callers saw: a router whose clock is 120 s ahead bans a server; all other routers reject the ban, the operator's call says yes, and nothing reports it at that router. Cause: a replica rejects a frame with a time too far ahead, as it must, but did not answer it. Change: a rejected frame is answered with the latest time that its receiver accepts. The sender then knows which of its own bans that peer rejects, logs ban_rejected_by_peer once for each peer and server, and answers the operator's call with 503. The reply to a ban that is replicated waits 0.1 s for such an answer. Why it works: which of two clocks is wrong is not decided; that the ban is not in effect at all routers is true in both cases. The answer itself is never rejected, so two replicas don't answer each other without end.

--- a/src/admin/router_admin_handler.cpp
+++ b/src/admin/router_admin_handler.cpp
@@ -14,6 +14,10 @@
 // yet to the other processes that this process serves clients.
 constexpr core::Time kPublishTimeout = 500'000;
 
+/// The reply to a ban that is sent to other routers waits for this time, in which a router that
+/// rejects the ban can say so.
+constexpr core::Time kRejectionWait = 100'000;
+
 /// A reply that is given exactly once: after the write to disk or after the timeout, whichever is
 /// first.
 struct PendingReply {
@@ -85,6 +89,11 @@
   }
   if (!change.is_banned) return {200, change.server + " is not banned\n"};
   if (replication == BanReplication::replicated) return {200, change.server + " is banned\n"};
+  if (replication == BanReplication::rejected) {
+    return {503,
+            "the ban is in effect on this router, but others reject it: their clocks differ from "
+            "this router's by more than the bound\n"};
+  }
   return {503,
           "the ban is in effect on this router only: the limit of replicated bans is reached\n"};
 }
@@ -99,6 +108,9 @@
     if (error) {
       reply({503, "the change is in effect in this process but is not on the disk: " +
                       to_string(*error) + "\n"});
+    } else if (change.is_banned && ban_replication_) {
+      deadlines_.set(engine_.now() + kRejectionWait,
+                     [this, reply, change] { reply(ban_reply(change)); });
     } else {
       reply(ban_reply(change));
     }
--- a/src/admin/router_admin_handler.h
+++ b/src/admin/router_admin_handler.h
@@ -23,6 +23,7 @@
   replicated,     // it is sent to the other routers
   limit_reached,  // a limit on replicated bans keeps it at this router
   not_started,    // it is sent once the stored bans have been read
+  rejected,       // other routers reject it, since their clocks and this router's differ
 };
 
 /// The AdminHandler of one router.
--- a/src/control/replication_service.cpp
+++ b/src/control/replication_service.cpp
@@ -153,8 +153,9 @@
 
 admin::BanReplication ReplicationService::ban_replication(const std::string& server) const {
   if (!has_started_) return admin::BanReplication::not_started;
-  return unreplicated_bans_.contains(server) ? admin::BanReplication::limit_reached
-                                             : admin::BanReplication::replicated;
+  if (unreplicated_bans_.contains(server)) return admin::BanReplication::limit_reached;
+  return replica_->peers_rejecting(server).empty() ? admin::BanReplication::replicated
+                                                   : admin::BanReplication::rejected;
 }
 
 void ReplicationService::handle(const replication::Event& event) {
@@ -192,6 +193,11 @@
     log_.record(kLogModule, log::Level::warning, "time_too_far_ahead",
                 {{"from", skew->from.empty() ? "this router" : skew->from},
                  {"ahead_ms", skew->ahead / kMicrosecondsPerMillisecond}});
+  } else if (const auto* rejected = std::get_if<replication::ReportRejectedBan>(&action)) {
+    log_.record(kLogModule, log::Level::error, "ban_rejected_by_peer",
+                {{"server", rejected->server},
+                 {"peer", rejected->peer},
+                 {"ahead_ms", rejected->ahead / kMicrosecondsPerMillisecond}});
   } else if (std::holds_alternative<replication::ReportOutdatedBans>(action)) {
     log_.record(kLogModule, log::Level::warning, "stored_bans_outdated",
                 {{"effect", "the bans made since the start are replicated again"}});
@@ -295,6 +301,7 @@
   json::write_count(writer, "full_bans_sent", counters.full_bans_sent);
   json::write_count(writer, "bans_refused", counters.bans_refused);
   json::write_count(writer, "bounds_reached", counters.bounds_reached);
+  json::write_count(writer, "rejected_by_peers", counters.rejected_by_peers);
   writer.Key("at_bound");
   writer.StartArray();
   for (const auto bound : replica_->reached_bounds()) writer.String(to_string(bound));
--- a/src/replication/frame_codec.cpp
+++ b/src/replication/frame_codec.cpp
@@ -98,6 +98,8 @@
   return frame;
 }
 
+RejectedFrame read_rejected_frame(Reader& reader) { return {read_time(reader)}; }
+
 Frame read_frame(Reader& reader) {
   switch (static_cast<FrameKind>(reader.number())) {
     case FrameKind::ban_delta:
@@ -114,6 +116,8 @@
       return read_bucket_digests_frame(reader);
     case FrameKind::floors:
       return read_floors_frame(reader);
+    case FrameKind::rejected:
+      return read_rejected_frame(reader);
   }
   reader.fail();
   return IdenticalFrame{};
@@ -130,6 +134,7 @@
 Time latest_in(const FloorUpdatesFrame& frame) { return latest_floor(frame.floors); }
 Time latest_in(const DigestsFrame& frame) { return frame.global_floor; }
 Time latest_in(const IdenticalFrame& /*frame*/) { return 0; }
+Time latest_in(const RejectedFrame& /*frame*/) { return 0; }
 Time latest_in(const BucketDigestsFrame& frame) { return frame.global_floor; }
 Time latest_in(const FloorsFrame& frame) {
   return std::max(frame.global_floor, latest_floor(frame.floors));
@@ -172,6 +177,13 @@
   return writer.str();
 }
 
+std::string encode_rejected(Time accepted_until) {
+  Writer writer;
+  write_header(writer, FrameKind::rejected, 1);
+  write_time(writer, accepted_until);
+  return writer.str();
+}
+
 std::string encode_bucket_digests(Time global_floor, const std::vector<RangeBuckets>& ranges) {
   Writer writer;
   write_header(writer, FrameKind::bucket_digests, 2);
--- a/src/replication/frame_codec.h
+++ b/src/replication/frame_codec.h
@@ -32,6 +32,7 @@
   full_bans,       // the answer if the digests of the bans differ
   bucket_digests,  // the answer if range digests differ
   floors,          // floors of buckets that differ, and the buckets whose floors are requested
+  rejected,        // the answer to a frame with a time too far ahead
 };
 
 /// The bucket digests of one range of a copy of the floors.
@@ -46,6 +47,7 @@
 std::string encode_floor_updates(const std::vector<PurgeFloor>& floors);
 std::string encode_digests(const BanSet& bans, const PurgeFloors& floors);
 std::string encode_identical();
+std::string encode_rejected(Time accepted_until);
 std::string encode_bucket_digests(Time global_floor, const std::vector<RangeBuckets>& ranges);
 std::string encode_floors(Time global_floor, const std::vector<PurgeFloor>& floors,
                           const std::vector<std::size_t>& requested_buckets);
@@ -63,6 +65,11 @@
   RangeDigests ranges{};
 };
 struct IdenticalFrame {};
+/// The sender has rejected a frame because it contains a time that is further ahead of its clock
+/// than it accepts. One of the two clocks is wrong; the frame does not tell which.
+struct RejectedFrame {
+  Time accepted_until = 0;  // the latest time that the sender accepts, by its own clock
+};
 struct FullBansFrame {
   BanSet bans;
 };
@@ -76,12 +83,12 @@
   std::vector<std::size_t> requested_buckets;
 };
 using Frame = std::variant<BanDeltaFrame, FloorUpdatesFrame, DigestsFrame, IdenticalFrame,
-                           FullBansFrame, BucketDigestsFrame, FloorsFrame>;
+                           FullBansFrame, BucketDigestsFrame, FloorsFrame, RejectedFrame>;
 
 /// Returns nothing if the bytes are not a frame of a known kind, or if any part of the frame is
 /// malformed or exceeds a limit.
 std::optional<Frame> decode_frame(std::string_view bytes);
-/// Returns the latest time that the frame contains, or 0 if it contains none.
+/// Returns the latest time of a change that the frame contains, or 0 if it contains none.
 Time latest_time(const Frame& frame);
 
 }  // namespace alderspur::replication
--- a/src/replication/replica.cpp
+++ b/src/replication/replica.cpp
@@ -78,6 +78,39 @@
   return false;
 }
 
+void Replica::send_rejection(const std::string& to) {
+  send(to, encode_rejected(now_ + *unix_offset_ + settings_.max_clock_skew));
+}
+
+void Replica::handle(const std::string& from, const RejectedFrame& frame) {
+  ++counters_.rejected_by_peers;
+  Rejection& rejection = rejections_[from];
+  rejection.accepted_until = frame.accepted_until;
+  rejection.received_at = now_;
+  for (const auto& [dot, ban] : bans_.bans()) {
+    if (!is_own(dot) || ban.at <= frame.accepted_until) continue;
+    if (!rejection.reported_servers.insert(ban.server).second) continue;
+    const Time peer_now = frame.accepted_until - settings_.max_clock_skew;
+    const Time ahead = unix_offset_ ? now_ + *unix_offset_ - peer_now : 0;
+    actions_->push_back(ReportRejectedBan{ban.server, from, ahead});
+  }
+}
+
+// What a peer accepts advances with its clock, so a ban that it rejects is accepted later.
+std::vector<std::string> Replica::peers_rejecting(const std::string& server) const {
+  std::vector<std::string> peers;
+  for (const auto& [peer, rejection] : rejections_) {
+    const Time accepted_until = rejection.accepted_until + (now_ - rejection.received_at);
+    const bool is_rejected =
+        std::any_of(bans_.bans().begin(), bans_.bans().end(), [&](const auto& entry) {
+          const auto& [dot, ban] = entry;
+          return is_own(dot) && ban.server == server && ban.at > accepted_until;
+        });
+    if (is_rejected) peers.push_back(peer);
+  }
+  return peers;
+}
+
 void Replica::on(const BansLoaded& event) {
   if (!accept_time(event.bans.latest_time(), {})) return;
   bans_.join(event.bans);
@@ -140,6 +173,7 @@
   };
   std::erase_if(open_comparisons_, is_gone);
   std::erase_if(full_bans_sent_at_, [&](const auto& entry) { return is_gone(entry.first); });
+  std::erase_if(rejections_, [&](const auto& entry) { return is_gone(entry.first); });
   if (has_first_peers && !is_caught_up_) compare_at_ = now_;
 }
 
@@ -255,8 +289,13 @@
 // changes nothing.
 void Replica::on(const FrameReceived& event) {
   const auto frame = decode_frame(event.bytes);
-  if (!frame || !accept_time(latest_time(*frame), event.from)) {
+  if (!frame) {
+    ++counters_.rejected;
+    return;
+  }
+  if (!accept_time(latest_time(*frame), event.from)) {
     ++counters_.rejected;
+    send_rejection(event.from);
     return;
   }
   std::visit([&](const auto& specific) { handle(event.from, specific); }, *frame);
@@ -308,8 +347,9 @@
   send_full_bans(to);
 }
 
-void Replica::handle(const std::string& /*from*/, const IdenticalFrame& /*frame*/) {
+void Replica::handle(const std::string& from, const IdenticalFrame& /*frame*/) {
   ++counters_.identical;
+  rejections_.erase(from);
   is_caught_up_ = true;
 }
 
--- a/src/replication/replica.h
+++ b/src/replication/replica.h
@@ -23,6 +23,8 @@
 // Clock skew: a frame or a stored set that contains a time further ahead of this router's clock
 // than `max_clock_skew` is rejected as a whole and not forwarded. A floor never decreases, so a
 // floor in the far future would invalidate the copies of an object, or all copies, until that time.
+// The sender of a rejected frame is told until when its peer accepts times. Neither of the two can
+// know whose clock is wrong, but the sender then knows which of its own bans the peer rejects.
 //
 // Limits: see frame_codec.h. A frame that cannot be decoded or exceeds a limit is dropped and
 // counted, and changes nothing.
@@ -119,6 +121,13 @@
 struct ReportRefusedBan {
   std::string server;
 };
+/// Reports that a peer rejects a ban requested at this router, because the ban's time is too far
+/// ahead of the peer's clock. Reported once for each peer and server while this lasts.
+struct ReportRejectedBan {
+  std::string server;
+  std::string peer;
+  Time ahead = 0;  // how far this router's clock is ahead of the peer's, in microseconds
+};
 /// Reports that a frame of the peer `from` was rejected because it contains a time too far ahead.
 /// If `from` is empty, stored bans or a purge of this router were rejected.
 struct ReportClockSkew {
@@ -139,7 +148,7 @@
 /// their author. The bans made since the start are repeated.
 struct ReportOutdatedBans {};
 using Action = std::variant<SendFrame, SetBan, ApplyPurge, ApplyGlobalPurge, ReportRefusedBan,
-                            ReportClockSkew, ReportBound, ReportOutdatedBans>;
+                            ReportClockSkew, ReportBound, ReportOutdatedBans, ReportRejectedBan>;
 
 /// Event counts since the start.
 struct ReplicaCounters {
@@ -151,8 +160,9 @@
   std::uint64_t rejected = 0;           // frames
   std::uint64_t clock_skews = 0;        // frames and local events with a time too far ahead
   std::uint64_t full_bans_sent = 0;
-  std::uint64_t bounds_reached = 0;  // how often a limit was reached
-  std::uint64_t bans_refused = 0;    // bans requested at this router and not replicated
+  std::uint64_t bounds_reached = 0;     // how often a limit was reached
+  std::uint64_t bans_refused = 0;       // bans requested at this router and not replicated
+  std::uint64_t rejected_by_peers = 0;  // frames of this router that a peer has rejected
 };
 
 /// The replica of one router. See the head of this file.
@@ -172,6 +182,8 @@
   const ReplicaCounters& counters() const { return counters_; }
   /// Reports whether another ban that is requested at this router can be replicated.
   bool has_room_for_ban() const { return bans_.has_room_for(settings_.self); }
+  /// Returns the peers that reject this router's bans of the server because of their times.
+  std::vector<std::string> peers_rejecting(const std::string& server) const;
   /// Returns the limits that are reached now.
   const std::set<Bound>& reached_bounds() const { return reached_bounds_; }
 
@@ -193,6 +205,7 @@
   void handle(const std::string& from, const FullBansFrame& frame);
   void handle(const std::string& from, const BucketDigestsFrame& frame);
   void handle(const std::string& from, const FloorsFrame& frame);
+  void handle(const std::string& from, const RejectedFrame& frame);
 
   void send(const std::string& to, std::string bytes);
   void gossip(const std::string& bytes, const std::string& except);
@@ -209,6 +222,8 @@
   void repeat_own_bans_as_new_author(const BanSet& theirs);
   bool apply_floor(const PurgeFloor& floor);
   bool accept_time(Time time, const std::string& from);
+  void send_rejection(const std::string& to);
+  bool is_own(const Dot& dot) const { return dot.author.name == settings_.self.name; }
   void apply_global_floor(Time at);
 
   const ReplicaSettings settings_;
@@ -228,6 +243,13 @@
   // since.
   std::set<std::string> open_comparisons_;
   std::map<std::string, Time> full_bans_sent_at_;  // in answer to digests, by peer
+  /// What a peer that has rejected a frame of this router accepts.
+  struct Rejection {
+    Time accepted_until = 0;  // by the peer's clock, when it was received
+    Time received_at = 0;
+    std::set<std::string> reported_servers;
+  };
+  std::map<std::string, Rejection> rejections_;  // by peer
   std::set<Bound> reached_bounds_;
   std::uint64_t folds_reported_ = 0;  // value of floors_.folds() at the last report
   ReplicaCounters counters_;
--- a/tests/hot_restart/coordinator_test.cpp
+++ b/tests/hot_restart/coordinator_test.cpp
@@ -143,6 +143,29 @@
   }
 }
 
+// Guards against a yes for a ban that another router rejects shortly after it was sent.
+TEST_F(HotRestartCoordinatorTest, SaysNoWhenAnotherRouterRejectsTheBanBeforeTheReply) {
+  const auto coordinator = start(directory);
+  core::Engine engine({}, 1, deadlines, net::unix_now);
+  admin::RouterAdminHandler handler(deadlines, engine, *coordinator, {},
+                                    {[] { return false; }, [](std::string_view) { return true; }});
+  const core::Time rejected_at = net::unix_now() + 50'000;
+  handler.set_ban_replication([&](const std::string& server) {
+    const bool is_rejected = server == "s-1" && net::unix_now() >= rejected_at;
+    return is_rejected ? admin::BanReplication::rejected : admin::BanReplication::replicated;
+  });
+  int rejected_status = 0;
+  int accepted_status = 0;
+  handler.change_ban("s-1", true, [&](const auto& reply) { rejected_status = reply.status; });
+  handler.change_ban("s-2", true, [&](const auto& reply) { accepted_status = reply.status; });
+  ASSERT_TRUE(run_until([&] {
+    deadlines.run_due(net::unix_now());
+    return rejected_status != 0 && accepted_status != 0;
+  }));
+  EXPECT_EQ(rejected_status, 503);
+  EXPECT_EQ(accepted_status, 200);
+}
+
 // A repeated change is confirmed without another write.
 TEST_F(HotRestartCoordinatorTest, WritesNothingWhenTheDiskHoldsTheBanAlready) {
   auto first = process();
--- a/tests/replication/simulated_replicas.h
+++ b/tests/replication/simulated_replicas.h
@@ -38,6 +38,7 @@
 using alderspur::replication::ReportBound;
 using alderspur::replication::ReportClockSkew;
 using alderspur::replication::ReportRefusedBan;
+using alderspur::replication::ReportRejectedBan;
 using alderspur::replication::SendFrame;
 using alderspur::replication::SetBan;
 using alderspur::replication::Tick;
@@ -62,9 +63,10 @@
   std::map<std::uint64_t, Time> purge_floors;  // by object
   Time global_floor = 0;
   std::map<Bound, std::uint64_t> bound_reports;
-  std::map<std::string, std::uint64_t> clock_skews;  // number of reports by peer
-  Time clock_error = 0;                              // error of the router's Unix time
-  std::set<std::string> refused_bans;                // servers
+  std::map<std::string, std::uint64_t> clock_skews;            // number of reports by peer
+  Time clock_error = 0;                                        // error of the router's Unix time
+  std::set<std::string> refused_bans;                          // servers
+  std::map<std::string, std::set<std::string>> rejected_bans;  // peers that reject it, by server
   std::uint64_t epoch = 0;
 };
 
@@ -201,6 +203,9 @@
       node.global_floor = std::max(node.global_floor, purge->at);
     } else if (const auto* refused = std::get_if<ReportRefusedBan>(&action)) {
       node.refused_bans.insert(refused->server);
+    } else if (const auto* rejected = std::get_if<ReportRejectedBan>(&action)) {
+      node.refused_bans.insert(rejected->server);
+      node.rejected_bans[rejected->server].insert(rejected->peer);
     } else if (const auto* skew = std::get_if<ReportClockSkew>(&action)) {
       ++node.clock_skews[skew->from];
     } else if (const auto* report = std::get_if<ReportBound>(&action)) {
