--- a/tests/rpc_front/open_calls_test.cpp
+++ b/tests/rpc_front/open_calls_test.cpp
@@ -34,6 +34,24 @@
     respond_to_all("bytes");
     return run_until([&] { return decode_responses(client.received).size() == count; });
   }
+  /// Responds to the first `count` fetches with the largest bodies, whatever the kernel accepts at
+  /// once. Returns false if the router does not take them.
+  bool respond_with_largest_bodies(std::size_t count) {
+    const std::string body(kMaxBodyBytes, 'x');
+    for (std::size_t i = 1; i <= count; ++i) {
+      const CacheCommand command = *fetch_command(i);
+      const std::string head = command.id + " served " + loopback::fresh_copy_fields("t") + ' ' +
+                               std::to_string(body.size()) + "\r\n";
+      if (!write_all(*command.connection, head + body + "\r\n")) return false;
+    }
+    return run_until([&] { return engine->counters().served == count; });
+  }
+  /// Returns the fetch of this object.
+  const CacheCommand& fetch_of(const std::string& object_name) {
+    std::size_t number = 1;
+    while (number < fetch_count() && fetch_command(number)->fields["name"] != object_name) ++number;
+    return *fetch_command(number);
+  }
   /// Occupies connection slots until `free` are left, each with a client that has an open call.
   std::vector<std::unique_ptr<TestSocket>> occupy_slots(int free) {
     std::vector<std::unique_ptr<TestSocket>> clients;
@@ -116,18 +134,11 @@
     client->write(encode_request(i, "asset", {{"item", object(i)}}));
   }
   ASSERT_TRUE(run_until([&] { return fetch_count() == kCalls; }));
-  const std::string body(kMaxBodyBytes, 'x');
-  for (std::size_t i = 1; i <= kCalls; ++i) {
-    const auto command = *fetch_command(i);
-    ASSERT_TRUE(write_all(*command.connection,
-                          command.id + " served " + loopback::fresh_copy_fields("t") + ' ' +
-                              std::to_string(body.size()) + "\r\n" + body + "\r\n"));
-  }
-  ASSERT_TRUE(run_until([&] { return engine->counters().served == kCalls; }));
+  ASSERT_TRUE(respond_with_largest_bodies(kCalls));
   run_for(6'000'000);
   polled_sockets.push_back(client.get());
   ASSERT_TRUE(run_until([&] {
-    return client->is_closed || (client->received.size() > kCalls * body.size() &&
+    return client->is_closed || (client->received.size() > kCalls * kMaxBodyBytes &&
                                  decode_responses(client->received).size() == kCalls);
   }));
   run_for(500'000);
@@ -156,6 +167,33 @@
   EXPECT_TRUE(run_until([&] { return engine->counters().admitted == admitted + 1; }));
 }
 
+// Guards against a client that reads slowly and is closed during a hand-over when the kernel has
+// taken its responses: it cannot know, and the requests that it sends meanwhile are never answered.
+TEST_F(OpenCallsTest, AreAnsweredDuringAHandoffWhenEarlierResponsesAreStillBeingRead) {
+  auto client = connect_client(client_front->address());
+  polled_sockets.clear();  // the client reads nothing
+  constexpr unsigned kCalls = 4;
+  for (unsigned i = 1; i <= kCalls; ++i) {
+    client->write(encode_request(i, "asset", {{"item", object(i)}}));
+  }
+  ASSERT_TRUE(run_until([&] { return fetch_count() == kCalls; }));
+  ASSERT_TRUE(respond_with_largest_bodies(kCalls));
+  ASSERT_TRUE(run_until([&] { return client_front->is_idle(); }));
+  client_front->start_handoff(net::unix_now() + 20'000'000);
+  run_briefly();
+  client->write(encode_request(kCalls + 1, "asset", {{"item", object(kCalls + 1)}}));
+  ASSERT_TRUE(run_until([&] { return fetch_count() == kCalls + 1; }))
+      << "the connection is still open";
+  FakeCache::respond(fetch_of(object(kCalls + 1)), "served", "last");
+  polled_sockets.push_back(client.get());
+  EXPECT_TRUE(run_until([&] {
+    return client->received.size() > kCalls * kMaxBodyBytes &&
+           decode_responses(client->received).size() == kCalls + 1;
+  }));
+  EXPECT_TRUE(run_until([&] { return client->is_closed; })) << "it has all its responses now";
+  EXPECT_FALSE(client->was_reset);
+}
+
 // Guards against a client that closes its sending side after its call, waits long to be accepted
 // and then gets no response.
 TEST_F(OpenCallsTest, AreRejectedWhenClientHasHalfClosedBeforeItWasAccepted) {
