--- a/tests/rpc_front/open_calls_test.cpp
+++ b/tests/rpc_front/open_calls_test.cpp
@@ -147,6 +147,23 @@
   EXPECT_TRUE(run_until([&] { return fetch_count() == kCalls + 1; }));
 }
 
+// Guards against a client that is closed as idle, 5 s after its last response, while it writes a
+// message slowly.
+TEST_F(OpenCallsTest, AreReadToTheEndWhenAMessageTakesLongerThanTheIdleTimeout) {
+  auto client = open_call(1);
+  ASSERT_TRUE(gets_responses(*client, 1));
+  const std::string message = long_message(2);
+  constexpr std::size_t kParts = 5;
+  const std::size_t part_bytes = message.size() / kParts;
+  for (std::size_t part = 0; part < kParts; ++part) {
+    client->write(message.substr(part * part_bytes, part_bytes));
+    run_for(1'300'000);
+  }
+  ASSERT_FALSE(client->is_closed);
+  client->write(message.substr(kParts * part_bytes));
+  EXPECT_TRUE(run_until([&] { return engine->counters().admitted == 2; }));
+}
+
 // Guards against a client that is closed in the middle of a message to make room for a new one.
 TEST_F(OpenCallsTest, AreReadToTheEndWhenConnectionSlotsRunOut) {
   auto client = open_call(1);
