--- a/src/rpc_front/rpc_front.cpp
+++ b/src/rpc_front/rpc_front.cpp
@@ -106,7 +106,7 @@
 
 // Every client's connection is closed by this function, whatever the reason. A client that awaits
 // responses loses them, so it is closed only if they cannot be delivered or nobody waits for them
-// any more; docs/design.md lists the cases.
+// any more; see the bounds in docs/architecture.md.
 void RpcFront::close(Client& client, CloseMode mode) {
   if (client.is_closed) return;
   client.is_closed = true;
