--- a/tests/net/connection_test.cpp
+++ b/tests/net/connection_test.cpp
@@ -24,7 +24,7 @@
 constexpr std::size_t kMaxWriteBytes = 240'000;
 /// No more than this is queued, so that a run stays short.
 constexpr std::size_t kMaxUnsentBytes = 2 << 20;
-constexpr int kKernelBufferBytes = 16 << 10;
+constexpr std::size_t kKernelBufferBytes = 16 << 10;
 /// What a connection may hold beyond a multiple of the bytes in its buffers.
 constexpr std::size_t kMaxIdleSendBytes = 2 * net::SendQueue::kMaxChunkBytes;
 constexpr std::size_t kMaxIdleReadBytes = 2 * net::ReadBuffer::kMaxSpareBytes;
@@ -37,8 +37,9 @@
   void open(net::Connection::Handler handler) {
     std::array<int, 2> fds{};
     ASSERT_EQ(::socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0, fds.data()), 0);
+    const int buffer_bytes = kKernelBufferBytes;
     for (const int fd : fds) {
-      ::setsockopt(fd, SOL_SOCKET, SO_SNDBUF, &kKernelBufferBytes, sizeof kKernelBufferBytes);
+      ::setsockopt(fd, SOL_SOCKET, SO_SNDBUF, &buffer_bytes, sizeof buffer_bytes);
     }
     connection =
         std::make_unique<net::Connection>(loop, net::Fd(fds[0]), false, std::move(handler));
--- a/tests/rpc_front/open_calls_test.cpp
+++ b/tests/rpc_front/open_calls_test.cpp
@@ -56,6 +56,7 @@
   std::vector<std::unique_ptr<TestSocket>> occupy_slots(int free) {
     std::vector<std::unique_ptr<TestSocket>> clients;
     constexpr unsigned kFirstId = 100;
+    clients.reserve(kSlots);
     for (int i = 0; i < kSlots - free; ++i) {
       clients.push_back(open_call(kFirstId + static_cast<unsigned>(i)));
     }
--- a/tests/rpc_front/response_memory_test.cpp
+++ b/tests/rpc_front/response_memory_test.cpp
@@ -15,6 +15,7 @@
 constexpr std::size_t kMemoryBytes = std::size_t{8} << 20;
 constexpr unsigned kClients = 4;
 constexpr unsigned kCallsPerClient = 30;
+constexpr std::uint64_t kAllCalls = std::uint64_t{kClients} * kCallsPerClient;
 
 class ResponseMemoryTest : public EventRacesTest {
  protected:
@@ -37,8 +38,7 @@
       }
     }
     polled_sockets.clear();
-    ASSERT_TRUE(
-        run_until([&] { return engine->counters().admitted == kClients * kCallsPerClient; }));
+    ASSERT_TRUE(run_until([&] { return engine->counters().admitted == kAllCalls; }));
     ASSERT_TRUE(run_until([&] { return fetch_count() == engine->open_request_count(); }));
     const std::string body(kBodyBytes, 'x');
     for (auto& cache : caches) {
