Pass bytes to the kernel in one place of a connection; let empty responses through

Cause: write() and flush() built the same message for the kernel, and a response without a body could fail for memory that it does not need. Change: Connection::send serves both; a response without a body is always queued. Measured: ConnectionTest, SendQueueTest, OpenCallsTest and ResponseMemoryTest pass.

--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -222,15 +222,13 @@
 
 // ---- Writing ----
 
-// Passes the parts to the kernel without copying them. Returns the number of bytes that it has
-// accepted. An error is ignored here, because fail() must not call the owner from within write().
-// The kernel reports the error again when the socket is ready.
-std::size_t Connection::send_directly(std::span<iovec> parts) {
+// Passes the parts to the kernel. Returns the number of bytes that it has accepted, or -1 with an
+// error in errno.
+ssize_t Connection::send(std::span<iovec> parts) {
   msghdr message{};
   message.msg_iov = parts.data();
   message.msg_iovlen = parts.size();
-  const ssize_t sent = ::sendmsg(fd_.get(), &message, MSG_NOSIGNAL);
-  return sent < 0 ? 0 : static_cast<std::size_t>(sent);
+  return ::sendmsg(fd_.get(), &message, MSG_NOSIGNAL);
 }
 
 void Connection::write(std::string_view head, std::string_view body, std::string_view tail) {
@@ -242,7 +240,10 @@
     std::transform(parts.begin(), parts.end(), buffers.begin(), [](std::string_view part) {
       return iovec{const_cast<char*>(part.data()), part.size()};
     });
-    std::size_t sent = send_directly(buffers);
+    // An error is ignored here, because fail() must not call the owner from within write(). The
+    // kernel reports the error again when the socket is ready.
+    const ssize_t result = send(buffers);
+    std::size_t sent = result < 0 ? 0 : static_cast<std::size_t>(result);
     for (auto& part : parts) {
       const auto sent_of_part = std::min(part.size(), sent);
       part.remove_prefix(sent_of_part);
@@ -257,10 +258,8 @@
 void Connection::flush() {
   if (!unwritten()) return;
   std::array<iovec, kMaxChunksPerWrite> buffers;
-  msghdr message{};
-  message.msg_iov = buffers.data();
-  message.msg_iovlen = send_queue_.gather(buffers);
-  const ssize_t sent = ::sendmsg(fd_.get(), &message, MSG_NOSIGNAL);
+  const std::size_t count = send_queue_.gather(buffers);
+  const ssize_t sent = send(std::span(buffers).first(count));
   if (sent < 0) {
     if (!is_temporary(errno)) fail(CloseReason::reset);
     return;
--- a/src/net/connection.h
+++ b/src/net/connection.h
@@ -110,7 +110,7 @@
   void shut_down_sending();
   void discard_input();
   bool discards_input() const { return is_lingering_ || has_stopped_parsing_; }
-  std::size_t send_directly(std::span<iovec> parts);
+  ssize_t send(std::span<iovec> parts);
   void update_account();
 
   Fd fd_;
--- a/src/rpc_front/rpc_front_limits.cpp
+++ b/src/rpc_front/rpc_front_limits.cpp
@@ -124,7 +124,7 @@
 }
 
 bool RpcFront::has_memory_for_response(const core::Response& response) const {
-  return queued_bytes_ + response.body.size() <= response_limit();
+  return response.body.empty() || queued_bytes_ + response.body.size() <= response_limit();
 }
 
 void RpcFront::update_byte_counts(Client& client) {
