Bound a timer's distance before it is converted in the simulated cluster

Change: the distance is bounded to 0 to 10 s while it is a double, then converted. The lateness and the bound of the whole delay are as before.

Not run on x86-64.

--- a/tests/consensus/simulated_cluster.cpp
+++ b/tests/consensus/simulated_cluster.cpp
@@ -270,8 +270,9 @@
 void SimulatedCluster::schedule_timer(Router& router) {
   const Time due = router.node->next_deadline();
   const auto clock_delay = static_cast<double>(due - clock_of(router));
-  const Time delay =
-      std::max<Time>(static_cast<Time>(clock_delay / router.clock_rate), 0) + kTimerLateness;
+  // Bounded before it is converted: a node without a deadline has one that no Time can hold.
+  const double distance = std::clamp(clock_delay / router.clock_rate, 0.0, 10.0 * kSecond);
+  const Time delay = static_cast<Time>(distance) + kTimerLateness;
   schedule(std::min<Time>(delay, 10 * kSecond),
            [this, &router, generation = router.generation, due] {
              if (router.generation != generation || !router.node || router.is_paused) return;
