--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
 # Builds what the scripts of review/6 to review/10 start beside the programs of the deploy file. The stand-ins are
-# Python with the standard library only and need no build: this checks that they parse. Cases 7 and 9 start the
+# Python with the standard library only and need no build: this checks that they parse. Cases 8 and 10 start the
 # project's program `alderspur`, which is built here from the project's sources. It needs the packages of packages.txt;
 # where they are missing, this says so, and those two scripts exit with 2.
 set -euo pipefail
@@ -14,7 +14,7 @@
         ast.parse(file.read(), path)
 CHECK
 if ! cmake -B build-review-2 -DCMAKE_BUILD_TYPE=Release -DALDERSPUR_TESTS=OFF; then
-  echo "review: alderspur cannot be configured here (packages.txt); review/7 and review/9 will not run" >&2
+  echo "review: alderspur cannot be configured here (packages.txt); review/8 and review/10 will not run" >&2
   exit 0
 fi
 cmake --build build-review-2 -j"${JOBS:-4}" --target alderspur_program
