Remember what may have run across the tries of a client

Callers saw a keyed request run twice: its client tried again within the dedup window, and the router sent it once more 2.2 s after the first attempt (window 2 s). A request of a class that must not repeat ran twice when its client had left and the same id came again 0.6 s later.

Cause: the state of a request ended with its last attempt, and a client's next try was a new request with a window of its own.

RequestHistory keeps the first attempt that may have run by idempotency key, or by id in a class without keys, and the send rules read it for each try. Tries of one request run one after another. A marked retry of which nothing is known gets one attempt at once. The history is bounded by memory; a full one rejects new requests and forgets nothing that may have run and may still come again. An attempt cancelled before any byte was passed on counts as never run.

Tests changed: several used one idempotency key for different requests, which the protocol excludes ("the same for all tries of one request"); each request has its own now. RepeatedRequestTest expected that an id of a class that must not repeat is sent again after it was served; it now expects Failed and no second send.

--- a/include/alderspur/router.h
+++ b/include/alderspur/router.h
@@ -18,6 +18,7 @@
 #pragma once
 
 #include <compare>
+#include <cstddef>
 #include <cstdint>
 #include <memory>
 #include <optional>
@@ -61,6 +62,14 @@
 
 // ---- Settings, passed once at construction ----
 
+/// Identifies a request across all tries of its client, which each have a RequestId of their own:
+/// by the idempotency key or, in a class without keys, by the id that the client gave the request.
+struct RequestIdentity {
+  std::uint64_t high = 0;
+  std::uint64_t low = 0;
+  constexpr auto operator<=>(const RequestIdentity&) const = default;
+};
+
 /// Whether a request may run more than once. If requests have an idempotency key, servers drop
 /// duplicates within ClassSettings::dedup_window.
 enum class Idempotency { idempotent, idempotent_with_key, not_idempotent };
@@ -89,6 +98,8 @@
   DedupScope dedup_scope = DedupScope::all;
   /// How long servers store idempotency keys.
   Time dedup_window = 0;
+  /// How long a client waits in total, across all of its tries. 0: unknown.
+  Time client_timeout = 0;
   /// Requests are executed at the origin, and no cache stores a copy.
   bool never_cached = false;
   /// How long a copy is fresh. 0: until it is purged.
@@ -151,6 +162,9 @@
   bool can_bypass_caches = false;
   /// Each Send can specify how the cache fills an object that it does not have (Send::fill).
   bool has_fills = false;
+  /// The maximum number of requests that are remembered after their end, so that they do not run
+  /// again when their clients try again.
+  std::size_t max_remembered_requests = 65'536;
 };
 
 // ---- Events ----
@@ -199,6 +213,12 @@
   Time time_budget = 0;
   /// The request changes the object at the origin.
   bool is_write = false;
+  /// What all tries of the request have in common. Absent: tries cannot be recognized.
+  std::optional<RequestIdentity> identity{};
+  /// A hash of the contents that are the same in all tries.
+  std::uint64_t content_hash = 0;
+  /// The client says that it has tried before.
+  bool is_retry = false;
 };
 
 /// How an attempt ended.
@@ -445,6 +465,11 @@
   /// or set to draining, or if its dedup window has ended. In that case the caller ends the attempt
   /// with AttemptResult::not_sent.
   bool may_send(Time now, RequestId id, AttemptNo attempt) const;
+  /// Reports whether an earlier try of a request may have run at a server where a further try would
+  /// run it once more. Always false if its class allows that.
+  bool may_have_run(const Request& request) const;
+  /// Returns the number of requests whose earlier tries are remembered.
+  std::size_t remembered_requests() const;
   /// Returns the state of all caches of the endpoint list whose status is not `gone`.
   std::vector<EndpointStatus> endpoint_statuses(Time now);
   /// Returns the limit on the transfer time in flight, in seconds. Returns 0 while no limit has
--- a/src/admin/metrics.cpp
+++ b/src/admin/metrics.cpp
@@ -54,6 +54,9 @@
   for (const auto& metric : kClassMetrics) append_counters(text, metric, engine, class_names);
   append_gauge(text, "edge_relay_inflight", "Requests taken and not yet ended.",
                engine.open_request_count());
+  append_gauge(text, "edge_relay_requests_remembered",
+               "Requests that must not run again, remembered for their clients' retries.",
+               engine.remembered_requests());
   const auto endpoints = engine.count_endpoints();
   append_gauge(text, "edge_relay_hosts_listed", "Caches on the list.", endpoints.listed);
   append_gauge(text, "edge_relay_hosts_down", "Caches on the list that are avoided now.",
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -12,6 +12,10 @@
 
 constexpr std::uint32_t kMinDescriptors = 32;
 constexpr std::uint32_t kMaxDescriptors = 1 << 20;
+/// The part of the memory limit that requests may use which are remembered after their end, and the
+/// memory that each of them takes.
+constexpr std::size_t kHistoryMemoryDivisor = 32;
+constexpr std::size_t kBytesPerRememberedRequest = 256;
 
 // The platform's field names: "board" is the address of the service discovery server, "operator"
 // the address for operators' calls, "sockets" the limit on descriptors, and "flow_bytes_per_s" the
@@ -73,6 +77,8 @@
   if (!settings.IsObject()) throw Error("the configuration has no \"settings\" object");
   RoutingSettings routing = read_routing_settings(settings);
   config.settings = std::move(routing.settings);
+  config.settings.max_remembered_requests =
+      (config.memory_mb << 20) / kHistoryMemoryDivisor / kBytesPerRememberedRequest;
   config.names = std::move(routing.names);
   read_connections(member(settings, "ceilings"), config);
   read_known_events(member(document, "known"), config);
--- a/src/config/routing_settings.cpp
+++ b/src/config/routing_settings.cpp
@@ -38,6 +38,7 @@
   settings.dedup_scope =
       parse_word(kDedupScopeWords, to_text(member(value, "dedup-scope")), DedupScope::cell);
   settings.dedup_window = to_time(member(value, "dedup-window"));
+  settings.client_timeout = to_time(member(value, "give-up"));
   settings.never_cached = to_bool(element(member(domain, "uncached"), index));
   settings.fresh_time = to_time(element(member(domain, "lifetime-by-class"), index));
   settings.stale_grace_time = to_time(element(member(domain, "stale-for"), index));
--- a/src/core/engine.h
+++ b/src/core/engine.h
@@ -48,7 +48,8 @@
   std::uint32_t group = 0;
   std::uint32_t part = 0;
   double size_kb = 0;
-  Time time_limit = 0;  // the client waits this long after it has sent the request
+  Time time_limit = 0;    // the client waits this long after it has sent the request
+  bool is_retry = false;  // the client says that it has tried before
 };
 
 /// The kind of a final answer. `rejected`: the request did not run at any server, so the client can
@@ -108,8 +109,9 @@
   virtual ~UpstreamClient() = default;
   /// Sends an attempt to a server. The contents are read from Engine::upstream_request().
   virtual void send(AttemptId attempt, alderspur::ServerId server) = 0;
-  /// Aborts an attempt; the client reports no response for it.
-  virtual void abort(AttemptId attempt) = 0;
+  /// Aborts an attempt; the client reports no response for it. Returns whether none of its bytes
+  /// were passed to a connection, so that it cannot have run.
+  virtual bool abort(AttemptId attempt) = 0;
   /// Sends a health check to a server.
   virtual void send_health_check(alderspur::ServerId server) = 0;
 };
@@ -159,6 +161,9 @@
   /// Returns whether an open request has the same id but another object, so that a response to one
   /// could be mistaken for a response to the other.
   bool conflicts_with_open_request(const RequestView& view) const;
+  /// Returns whether an earlier try of the request may have run and its class does not allow it to
+  /// run again. A front must not reject such a request, since the client would send it again.
+  bool may_have_run(const RequestView& view) const;
   /// Returns whether a request with this id is open or still has an attempt in flight.
   bool is_open(std::string_view id) const { return handles_by_id_.contains(std::string(id)); }
 
@@ -222,6 +227,8 @@
   EndpointCounts count_endpoints();
   /// Returns the router's concurrency limit; see alderspur::BudgetShare::concurrency_limit.
   double concurrency_limit() const { return router_.concurrency_limit(); }
+  /// Returns the number of requests whose earlier tries are remembered.
+  std::size_t remembered_requests() const { return router_.remembered_requests(); }
   Counters& counters() { return counters_; }
   /// Returns the counters of each request class, indexed by class id.
   const std::vector<ClassCounters>& class_counters() const { return class_counters_; }
@@ -257,6 +264,7 @@
   void process_cancel(const Event& event);
   void process_outcome(const Event& event);
   void pass_to_router(const alderspur::Event& event);
+  alderspur::Request to_request(const RequestView& view) const;
   void answer_without_response(RequestHandle request, FinalStatus status, Time retry_after);
   void apply_effect(const Effect& effect);
   void send(const alderspur::Send& action);
--- a/src/core/engine_attempts.cpp
+++ b/src/core/engine_attempts.cpp
@@ -105,8 +105,9 @@
 void Engine::abandon_attempt(AttemptId id, AttemptResult result) {
   const Attempt* attempt = find_attempt(id);
   if (!attempt || attempt->has_ended) return;
-  upstream_client_->abort(id);
-  end_attempt(id, result);
+  const bool never_ran = upstream_client_->abort(id);
+  const bool was_cancelled = result == AttemptResult::cancelled;
+  end_attempt(id, never_ran && was_cancelled ? AttemptResult::not_sent : result);
 }
 
 // ---- Calls of the upstream client ----
--- a/src/core/engine_requests.cpp
+++ b/src/core/engine_requests.cpp
@@ -4,6 +4,7 @@
 
 #include "core/engine.h"
 #include "core/engine_state.h"
+#include "core/request_identity.h"
 
 namespace alderspur::core {
 namespace {
@@ -35,14 +36,8 @@
   open.deadline = now() + std::max<Time>(0, view.time_limit - margin);
   open.write_deadline = now_ + view.time_limit / 100 * kWriteDeadlinePercent;
   alderspur::Request& request = open.request;
+  request = to_request(view);
   request.id = {handle};
-  request.object = {view.object};
-  request.group = {view.group};
-  request.class_id = {view.class_id};
-  request.part = view.part;
-  request.size_kb = view.size_kb;
-  request.is_write =
-      view.class_id < settings_.classes.size() && settings_.classes[view.class_id].never_cached;
   request.time_budget = open.deadline - now_;
   ++open_request_count_;
   open_request_bytes_ += open.body.size();
@@ -51,6 +46,27 @@
   return handle;
 }
 
+alderspur::Request Engine::to_request(const RequestView& view) const {
+  alderspur::Request request;
+  request.object = {view.object};
+  request.group = {view.group};
+  request.class_id = {view.class_id};
+  request.part = view.part;
+  request.size_kb = view.size_kb;
+  request.is_retry = view.is_retry;
+  if (view.class_id >= settings_.classes.size()) return request;
+  const alderspur::ClassSettings& settings = settings_.classes[view.class_id];
+  request.is_write = settings.never_cached;
+  if (settings.idempotency == alderspur::Idempotency::idempotent) return request;
+  request.identity = request_identity(view);
+  request.content_hash = content_hash(view);
+  return request;
+}
+
+bool Engine::may_have_run(const RequestView& view) const {
+  return router_.may_have_run(to_request(view));
+}
+
 bool Engine::conflicts_with_open_request(const RequestView& view) const {
   const auto [first, last] = handles_by_id_.equal_range(std::string(view.id));
   return std::any_of(first, last, [&](const auto& entry) {
--- a/src/edge_router/edge_router.cpp
+++ b/src/edge_router/edge_router.cpp
@@ -236,7 +236,9 @@
   log_("memory", "limits count " + std::to_string(front_.limited_bytes()) +
                      " bytes, buffers hold " + std::to_string(buffers.held) + " for " +
                      std::to_string(buffers.unsent) + " unsent and " +
-                     std::to_string(buffers.unread) + " unread, anonymous memory " +
+                     std::to_string(buffers.unread) + " unread, " +
+                     std::to_string(engine_.remembered_requests()) +
+                     " requests are remembered, anonymous memory " +
                      (anonymous ? std::to_string(*anonymous) : "unknown"));
 }
 
--- a/src/policy/attempts.cpp
+++ b/src/policy/attempts.cpp
@@ -48,19 +48,63 @@
 }
 
 void Attempts::reject_or_fail(RequestState& state) {
+  if (!may_reject(context_, state)) return fail(state);
   if (!std::exchange(state.is_open, false)) return;
-  if (may_reject(context_, state)) {
-    const Time pause = std::min(context_.settings.max_retry_after, parts_.admission.retry_after());
-    context_.emit(Reject{state.request.id, context_.settings.sends_retry_after ? pause : 0});
-  } else {
-    context_.emit(Fail{state.request.id});
-  }
+  const Time pause = std::min(context_.settings.max_retry_after, parts_.admission.retry_after());
+  context_.emit(Reject{state.request.id, context_.settings.sends_retry_after ? pause : 0});
+  abandon_attempt(state);
+}
+
+void Attempts::fail(RequestState& state) {
+  if (!std::exchange(state.is_open, false)) return;
+  context_.emit(Fail{state.request.id});
   abandon_attempt(state);
 }
 
 void Attempts::close(RequestState& state) {
   if (std::exchange(state.is_open, false)) abandon_attempt(state);
-  if (!state.attempt_in_flight()) requests_.erase(state.request.id);
+  if (state.attempt_in_flight()) return;
+  const Request& request = state.request;
+  if (is_remembered(context_, request)) {
+    context_.history.end_try(request, context_.now, remember_until(context_, request));
+  }
+  requests_.erase(request.id);
+}
+
+void Attempts::begin(RequestState& state) {
+  if (!is_remembered(context_, state.request)) return start(state);
+  const bool is_unknown = has_unknown_try(context_, state.request);
+  switch (context_.history.begin_try(state.request, is_unknown, context_.now)) {
+    case TryAdmission::starts:
+      start_try(state);
+      break;
+    case TryAdmission::waits:
+      state.earlier_tries.has_unknown_try = true;
+      break;
+    case TryAdmission::conflicts:
+      state.earlier_tries.has_unknown_try = true;
+      fail(state);
+      close(state);
+      break;
+    case TryAdmission::unavailable:
+      state.earlier_tries.has_unknown_try = may_have_run(context_, state.request);
+      reject_or_fail(state);
+      close(state);
+      break;
+  }
+}
+
+void Attempts::start_waiting_tries() {
+  while (const auto id = context_.history.take_ready()) {
+    const auto found = requests_.find(*id);
+    if (found != requests_.end()) start_try(found->second);
+  }
+}
+
+void Attempts::start_try(RequestState& state) {
+  const EarlierTries* earlier = context_.history.find(*state.request.identity);
+  state.earlier_tries = earlier ? *earlier : EarlierTries{};
+  start(state);
 }
 
 void Attempts::cancel_attempts_for_retry(ServerId server) {
@@ -102,7 +146,7 @@
   if (!attempt || !state.is_open || state.response_started) return false;
   const bool waits_for_source = attempt->source == server && attempt->may_reach_origin;
   if (attempt->server != server && !waits_for_source) return false;
-  return may_cancel_for_retry(context_, state, *attempt);
+  return may_cancel_for_retry(context_, state);
 }
 
 bool Attempts::send_attempt(RequestState& state, const Upstream* preferred) {
@@ -147,6 +191,7 @@
   attempt.transfer_time = context_.workload.transfer_time(state.request);
   attempt.may_reach_origin = may_reach_origin;
   state.attempts.push_back(attempt);
+  if (is_remembered(context_, state.request)) context_.history.record_sent(state.request, attempt);
   upstream.begin_transfer(attempt.transfer_time, context_.now);
   if (may_reach_origin) parts_.admission.origin_work().begin(attempt.transfer_time);
   // The timeout is all the time that is left. A shorter one would discard the work that a slow
--- a/src/policy/attempts.h
+++ b/src/policy/attempts.h
@@ -17,9 +17,11 @@
   Attempts(RoutingContext& context, RequestTable& requests, PolicyParts& parts)
       : context_(context), requests_(requests), parts_(parts) {}
 
-  /// Sends the first attempt. If that is not possible, rejects the request and removes `state` from
-  /// the request table.
-  void start(RequestState& state);
+  /// Begins a request: sends the first attempt, or rejects or fails the request and removes `state`
+  /// from the request table. If another try of the same request is active, waits for its end.
+  void begin(RequestState& state);
+  /// Starts the tries whose wait has ended. Must be called at the end of each event.
+  void start_waiting_tries();
   /// Retries after an attempt that ended without a usable response, or gives the final answer.
   /// `upstream` is the server of that attempt, or null if it is no longer in the table.
   /// `retry_same_server` is the result of FillPolicy::suspect_source for the attempt.
@@ -37,6 +39,13 @@
   void cancel_attempts_for_retry(ServerId server);
 
  private:
+  /// Sends the first attempt. If that is not possible, rejects or fails the request and removes
+  /// `state` from the request table.
+  void start(RequestState& state);
+  /// Starts a try with what is known of the earlier ones.
+  void start_try(RequestState& state);
+  /// Gives the final answer that makes no statement about whether the request ran.
+  void fail(RequestState& state);
   /// Reports whether a retry would end in the same way as the failed attempt.
   bool is_retry_useless(const RequestState& state, const AttemptState& attempt,
                         const AttemptOutcome& outcome) const;
--- a/src/policy/send_rules.cpp
+++ b/src/policy/send_rules.cpp
@@ -11,22 +11,65 @@
 /// Time that a request takes to reach a server. A retry must arrive there, not only be sent, within
 /// the dedup window.
 constexpr Time kRequestTransitTime = 20 * estimators::kMillisecond;
+/// How long a client whose class does not say so is taken to wait across all of its tries.
+constexpr Time kDefaultClientTimeout = 5 * estimators::kSecond;
 /// Safety margin that is subtracted from the maximum age of copies after a purge.
 constexpr Time kClockMargin = 2 * estimators::kMillisecond;
 
-/// Reports whether a server drops a new attempt as a duplicate of an earlier one that may have run.
+/// Reports whether a server drops a new attempt as a duplicate of an earlier one that may have run,
+/// which is an AttemptState or an EarlierAttempt.
+template <class AttemptType>
 bool drops_repeat(const RoutingContext& context, const ClassSettings& settings,
-                  const AttemptState& earlier, const Server& server) {
+                  const AttemptType& earlier, const Server& server) {
   if (context.now - earlier.sent_at >= settings.dedup_window - kRequestTransitTime) return false;
   const DedupScope scope = settings.dedup_scope;
   if (scope != DedupScope::all && earlier.location != server.location) return false;
   return scope != DedupScope::cell || earlier.cell == server.cell;
 }
 
+/// Reports whether the class and the earlier tries of the request allow an attempt at `server`. The
+/// time of an unknown try is known only by the window within which clients try again: it has not
+/// ended when a try arrives, but may end at any time afterwards.
+bool do_earlier_tries_allow(const RoutingContext& context, const RequestState& state,
+                            const Server& server) {
+  const EarlierTries& earlier = state.earlier_tries;
+  const ClassSettings& settings = context.class_settings(state.request);
+  if (!earlier.may_have_run() || settings.idempotency == Idempotency::idempotent) return true;
+  if (settings.idempotency == Idempotency::not_idempotent) return false;
+  if (earlier.first_attempt && !drops_repeat(context, settings, *earlier.first_attempt, server)) {
+    return false;
+  }
+  return !earlier.has_unknown_try || context.now <= state.arrived_at + kRequestTransitTime;
+}
+
 }  // namespace
 
+bool is_remembered(const RoutingContext& context, const Request& request) {
+  return request.identity && context.class_settings(request).idempotency != Idempotency::idempotent;
+}
+
+bool has_unknown_try(const RoutingContext& context, const Request& request) {
+  return request.is_retry &&
+         context.class_settings(request).idempotency == Idempotency::idempotent_with_key;
+}
+
+bool may_have_run(const RoutingContext& context, const Request& request) {
+  if (!is_remembered(context, request)) return has_unknown_try(context, request);
+  const EarlierTries* earlier = context.history.find(*request.identity);
+  if (!earlier) return has_unknown_try(context, request);
+  return earlier->may_have_run() || context.history.is_active(*request.identity);
+}
+
+Time remember_until(const RoutingContext& context, const Request& request) {
+  const ClassSettings& settings = context.class_settings(request);
+  const Time client_timeout =
+      settings.client_timeout > 0 ? settings.client_timeout : kDefaultClientTimeout;
+  return context.now + std::max(client_timeout, settings.dedup_window);
+}
+
 bool may_attempt(const RoutingContext& context, const RequestState& state, const Server& server,
                  std::size_t number) {
+  if (!do_earlier_tries_allow(context, state, server)) return false;
   const ClassSettings& settings = context.class_settings(state.request);
   for (const AttemptState& earlier : std::span(state.attempts).first(number)) {
     if (earlier.in_flight) return false;
@@ -39,15 +82,21 @@
 
 bool may_reject(const RoutingContext& context, const RequestState& state) {
   if (context.class_settings(state.request).may_repeat_anywhere()) return true;
-  return std::ranges::all_of(state.attempts, &AttemptState::never_ran);
+  return !state.earlier_tries.may_have_run() &&
+         std::ranges::all_of(state.attempts, &AttemptState::never_ran);
 }
 
-bool may_cancel_for_retry(const RoutingContext& context, const RequestState& state,
-                          const AttemptState& attempt) {
+bool may_cancel_for_retry(const RoutingContext& context, const RequestState& state) {
   const ClassSettings& settings = context.class_settings(state.request);
   if (!settings.may_repeat_anywhere()) return false;
-  return settings.idempotency == Idempotency::idempotent ||
-         context.now - attempt.sent_at < settings.dedup_window;
+  if (settings.idempotency == Idempotency::idempotent) return true;
+  const Time oldest_allowed = context.now - settings.dedup_window;
+  const EarlierTries& earlier = state.earlier_tries;
+  if (earlier.has_unknown_try) return false;
+  if (earlier.first_attempt && earlier.first_attempt->sent_at <= oldest_allowed) return false;
+  return std::ranges::all_of(state.attempts, [=](const AttemptState& attempt) {
+    return attempt.never_ran || attempt.sent_at > oldest_allowed;
+  });
 }
 
 void limit_age_after_purge(const RoutingContext& context, const RequestState& state,
--- a/src/policy/send_rules.h
+++ b/src/policy/send_rules.h
@@ -11,8 +11,24 @@
 
 namespace alderspur::policy {
 
+/// Reports whether the request must not run twice at any time and its tries can be recognized, so
+/// that they are recorded in the RequestHistory.
+bool is_remembered(const RoutingContext& context, const Request& request);
+
+/// Reports whether the client has tried before, so that a request of which nothing is remembered
+/// may have run.
+bool has_unknown_try(const RoutingContext& context, const Request& request);
+
+/// Reports whether an earlier try of a request, remembered or not, may have run and the class does
+/// not allow it to run again.
+bool may_have_run(const RoutingContext& context, const Request& request);
+
+/// Returns until when a request that ends now must be remembered if it may have run.
+Time remember_until(const RoutingContext& context, const Request& request);
+
 /// Reports whether attempt `number` of a request may be sent to `server`. It may if none of the
-/// earlier attempts is in flight and the idempotency of the class allows another attempt there.
+/// earlier attempts is in flight and the idempotency of the class allows another attempt there,
+/// after all attempts of this try of the client and of its earlier tries.
 bool may_attempt(const RoutingContext& context, const RequestState& state, const Server& server,
                  std::size_t number);
 
@@ -21,8 +37,7 @@
 bool may_reject(const RoutingContext& context, const RequestState& state);
 
 /// Reports whether the attempt in flight may be cancelled and retried at another server.
-bool may_cancel_for_retry(const RoutingContext& context, const RequestState& state,
-                          const AttemptState& attempt);
+bool may_cancel_for_retry(const RoutingContext& context, const RequestState& state);
 
 /// Restricts the fill of a Send after a purge of the object: the request must not be answered with
 /// a copy from before the purge, nor join a fill that may have begun before it. `server` is the
--- a/src/policy_state/request_state.h
+++ b/src/policy_state/request_state.h
@@ -3,6 +3,7 @@
 // the router's clock.
 #pragma once
 
+#include <optional>
 #include <vector>
 
 #include "alderspur/router.h"
@@ -41,10 +42,34 @@
 /// not fill from another server.
 AttemptState make_attempt(const Upstream& upstream, const Upstream* source, Time now);
 
+/// An attempt of an earlier try that may have run or is in flight.
+struct EarlierAttempt {
+  Time sent_at = 0;
+  /// The location and the cell of its server.
+  LocationId location;
+  CellId cell;
+  bool in_flight = true;
+};
+
+/// What is known of the earlier tries of a request.
+struct EarlierTries {
+  /// The first attempt that may have run.
+  std::optional<EarlierAttempt> first_attempt;
+  /// The client has tried before, and this router does not know what was sent for that try.
+  bool has_unknown_try = false;
+
+  /// Reports whether the request may have run before.
+  bool may_have_run() const { return first_attempt || has_unknown_try; }
+};
+
 /// The state of one request. Owned by the RequestTable.
 struct RequestState {
   Request request;
+  Time arrived_at = 0;
   Time deadline = 0;
+  /// The earlier tries of the same client's request, as known when this one started. While it waits
+  /// for them to end, they count as unknown.
+  EarlierTries earlier_tries;
   /// The router still has to give the final answer.
   bool is_open = true;
   /// Probably no cache has a current copy, because this router has received no recent request for
--- a/src/policy_state/routing_context.h
+++ b/src/policy_state/routing_context.h
@@ -10,6 +10,7 @@
 #include "estimators/hash.h"
 #include "policy_state/fleet_share.h"
 #include "policy_state/purge_table.h"
+#include "policy_state/request_history.h"
 #include "policy_state/upstream_table.h"
 #include "policy_state/workload_model.h"
 
@@ -24,6 +25,7 @@
         upstreams(settings.location),
         workload(settings),
         fleet(settings),
+        history(settings.max_remembered_requests),
         random_counter(seed) {}
   RoutingContext(const RoutingContext&) = delete;
   RoutingContext& operator=(const RoutingContext&) = delete;
@@ -35,6 +37,7 @@
   WorkloadModel workload;
   FleetShare fleet;
   PurgeTable purges;
+  RequestHistory history;
   std::uint64_t random_counter;
   /// At least one outcome has reported a FillOutcome. From then on the policy uses these reports
   /// and no longer infers the outcome of fills from the results of attempts.
--- a/src/router/router.cpp
+++ b/src/router/router.cpp
@@ -44,6 +44,8 @@
   void handle(Time now, const Event& event, std::vector<Action>& actions);
   bool may_send(Time now, RequestId id, AttemptNo number);
   std::vector<EndpointStatus> endpoint_statuses(Time now);
+  bool may_have_run(const Request& request) const;
+  std::size_t remembered_requests() const { return context_.history.size(); }
   double concurrency_limit() const { return parts_.admission.concurrency_limit(); }
 
  private:
@@ -91,6 +93,7 @@
   advance(now);
   if (!std::exchange(has_started_, true)) start();
   std::visit([this](const auto& typed_event) { on(typed_event); }, event);
+  attempts_.start_waiting_tries();
   context_.actions = nullptr;
 }
 
@@ -106,6 +109,11 @@
   return policy::may_attempt(context_, found->second, upstream->server, number.value);
 }
 
+bool Router::Impl::may_have_run(const Request& request) const {
+  return request.class_id.value < context_.settings.classes.size() &&
+         policy::may_have_run(context_, request);
+}
+
 std::vector<EndpointStatus> Router::Impl::endpoint_statuses(Time now) {
   advance(now);
   std::vector<EndpointStatus> statuses;
@@ -190,6 +198,7 @@
   }
   RequestState& state = requests_[request.id];
   state.request = request;
+  state.arrived_at = context_.now;
   state.deadline = context_.now + std::max<Time>(request.time_budget, 0);
   parts_.admission.refill_retry_budget();
   if (estimators::positive_or_zero(request.size_kb) > 0) {
@@ -197,7 +206,7 @@
   }
   state.is_likely_miss = record_object_request(request);
   set_timer(state.deadline, {TimerKind::request_deadline, request.id});
-  attempts_.start(state);
+  attempts_.begin(state);
 }
 
 bool Router::Impl::record_object_request(const Request& request) {
@@ -236,6 +245,9 @@
   const bool retry_same_server =
       !on_probation && parts_.fills.suspect_source(state, attempt, outcome);
   attempt.never_ran = policy::never_ran(outcome.result);
+  if (policy::is_remembered(context_, state.request)) {
+    context_.history.record_outcome(state.request, attempt);
+  }
   record_outcome(state, attempt, outcome, upstream, retry_same_server);
   if (outcome.response_delivered || outcome.result == AttemptResult::ok) {
     attempts_.close(state);
@@ -308,6 +320,7 @@
   parts_.selection.clean_up();
   const Time retention = context_.settings.purge_propagation_time + kPurgeRetention;
   context_.purges.remove_before(context_.now - retention);
+  context_.history.remove_expired(context_.now);
   context_.upstreams.remove_gone();
   context_.upstreams.regroup();
   parts_.health.check_ejected();
@@ -330,6 +343,10 @@
   return impl_->may_send(now, id, attempt);
 }
 
+bool Router::may_have_run(const Request& request) const { return impl_->may_have_run(request); }
+
+std::size_t Router::remembered_requests() const { return impl_->remembered_requests(); }
+
 std::vector<EndpointStatus> Router::endpoint_statuses(Time now) {
   return impl_->endpoint_statuses(now);
 }
--- a/src/rpc_front/rpc_codec.cpp
+++ b/src/rpc_front/rpc_codec.cpp
@@ -55,6 +55,7 @@
     {"set", &Call::group},
     {"ram", &Call::size_kb},
     {"seen", &Call::client_copy_tag},
+    {"second", &Call::retry_mark},
 };
 
 bool is_number(const msgpack_object& object) {
@@ -217,6 +218,7 @@
   view.part = *part;
   view.group = *group;
   view.size_kb = *size_kb;
+  view.is_retry = !call.retry_mark.empty();
   return view;
 }
 
--- a/src/rpc_front/rpc_codec.h
+++ b/src/rpc_front/rpc_codec.h
@@ -10,6 +10,7 @@
 //   unique             idempotency key           item                    object (16 hex digits)
 //   slice              part                      set                     group
 //   ram                size (KB)                 seen                    tag of the client's copy
+//   second             mark of a client's retry
 //   error Busy         rejected                  error Failed            failed
 //   later              retry after (ms)          current                 not modified
 #pragma once
@@ -47,6 +48,7 @@
   std::string_view group;
   std::string_view size_kb;
   std::string_view client_copy_tag;
+  std::string_view retry_mark;
   std::string_view body;
 };
 
--- a/src/rpc_front/rpc_front.cpp
+++ b/src/rpc_front/rpc_front.cpp
@@ -214,10 +214,18 @@
 // A client that waited long to be accepted and has closed its sending side has most likely
 // disconnected. Its requests are read only now, and forwarding them would be of no use. They are
 // rejected, in case the client still reads, but not counted.
-void RpcFront::reject_disconnected(Client& client, std::uint64_t call_id) {
+void RpcFront::reject_disconnected(Client& client, const Call& call, bool may_retry) {
   core::Response response;
-  response.status = core::FinalStatus::rejected;
-  reply(client, call_id, response);
+  response.status = may_retry ? core::FinalStatus::rejected : core::FinalStatus::failed;
+  reply(client, call.id, response);
+}
+
+// A try of the same request may be open, or it may have been executed at a server before this try
+// arrived. The client must not be told then that a retry is harmless, unless the class allows it.
+bool RpcFront::may_client_retry(const RequestClass& request_class,
+                                const core::RequestView& view) const {
+  return request_class.rules.may_repeat_anywhere ||
+         !(engine_.is_open(view.id) || engine_.may_have_run(view));
 }
 
 void RpcFront::expect_response(Client& client, core::Time time_limit) {
@@ -226,11 +234,14 @@
 }
 
 void RpcFront::on_request(Client& client, const Call& call) {
-  if (client.has_disconnected) return reject_disconnected(client, call.id);
   const auto found = classes_.find(std::string(call.class_name));
   if (found == classes_.end()) return reject_invalid(client, call, core::kNoClass);
   const RequestClass& request_class = found->second;
   auto view = to_request_view(call, request_class.rules);
+  if (view) view->class_id = request_class.id;
+  if (client.has_disconnected) {
+    return reject_disconnected(client, call, !view || may_client_retry(request_class, *view));
+  }
   if (view) expect_response(client, view->time_limit);
   if (!view || engine_.conflicts_with_open_request(*view)) {
     return reject_invalid(client, call, request_class.id);
@@ -241,10 +252,9 @@
   if (engine_.is_open(view->id)) {
     return reject(client, call.id, request_class.id, request_class.rules.may_repeat_anywhere);
   }
-  view->class_id = request_class.id;
   const std::size_t expected_bytes = response_sizes_.estimate(*view);
   if (!has_capacity_for_call(client, expected_bytes)) {
-    return reject(client, call.id, request_class.id, true);
+    return reject(client, call.id, request_class.id, may_client_retry(request_class, *view));
   }
   const core::RequestHandle request = engine_.admit(*this, *view);
   client.open_calls[call.id] = request;
--- a/src/rpc_front/rpc_front.h
+++ b/src/rpc_front/rpc_front.h
@@ -92,7 +92,8 @@
   void on_cancellation(Client& client, std::uint64_t call_id);
   void on_request(Client& client, const Call& call);
   void expect_response(Client& client, core::Time time_limit);
-  void reject_disconnected(Client& client, std::uint64_t call_id);
+  void reject_disconnected(Client& client, const Call& call, bool may_retry);
+  bool may_client_retry(const RequestClass& request_class, const core::RequestView& view) const;
   void reject_invalid(Client& client, const Call& call, std::uint32_t class_id);
   void reject(Client& client, std::uint64_t call_id, std::uint32_t class_id, bool may_retry);
   OpenCall end_call(core::RequestHandle request);
--- a/src/upstream/upstream_pool.h
+++ b/src/upstream/upstream_pool.h
@@ -42,7 +42,7 @@
 
   // Implementation of core::UpstreamClient.
   void send(core::AttemptId attempt, alderspur::ServerId server) override;
-  void abort(core::AttemptId attempt) override;
+  bool abort(core::AttemptId attempt) override;
   void send_health_check(alderspur::ServerId server) override;
 
   /// Returns the last valid address of a server, or an empty string if there is none.
@@ -83,6 +83,7 @@
   void write_waiting(UpstreamConnection& connection);
   void write_command(UpstreamConnection& connection, core::AttemptId attempt);
   void mark_written(UpstreamConnection& connection);
+  void abort_written(UpstreamConnection& connection, core::AttemptId attempt);
   std::ptrdiff_t on_data(UpstreamConnection& connection, std::string_view bytes);
   bool on_response(UpstreamConnection& connection, const CacheResponse& response);
   bool is_plausible(const CacheResponse& response, core::AttemptId attempt) const;
--- a/src/upstream/upstream_requests.cpp
+++ b/src/upstream/upstream_requests.cpp
@@ -89,12 +89,18 @@
   }
 }
 
-void UpstreamPool::abort(AttemptId attempt) {
+bool UpstreamPool::abort(AttemptId attempt) {
   const auto found = connections_by_attempt_.find(attempt);
-  if (found == connections_by_attempt_.end()) return;
+  if (found == connections_by_attempt_.end()) return false;
   UpstreamConnection& connection = *found->second;
   connections_by_attempt_.erase(found);
-  if (std::erase(connection.waiting, attempt)) return;
+  if (std::erase(connection.waiting, attempt)) return true;
+  abort_written(connection, attempt);
+  return false;
+}
+
+// Aborts an attempt whose command was passed to a connection.
+void UpstreamPool::abort_written(UpstreamConnection& connection, AttemptId attempt) {
   const core::UpstreamRequest* request = engine_.upstream_request(attempt);
   if (!request) return;
   const std::string id(request->id);
--- a/tests/admin_test.cpp
+++ b/tests/admin_test.cpp
@@ -27,7 +27,10 @@
   void send(core::AttemptId attempt, ServerId /*server*/) override {
     open_attempts.push_back(attempt);
   }
-  void abort(core::AttemptId attempt) override { std::erase(open_attempts, attempt); }
+  bool abort(core::AttemptId attempt) override {
+    std::erase(open_attempts, attempt);
+    return false;
+  }
   void send_health_check(ServerId /*server*/) override {}
 
   std::vector<core::AttemptId> open_attempts;
--- a/tests/client_races_test.cpp
+++ b/tests/client_races_test.cpp
@@ -161,8 +161,14 @@
   respond_to_all("bytes");
   ASSERT_TRUE(run_until([&] { return decode_responses(first->received).size() == 1; }));
   repeating->write(encode_request(2, "asset", {{"txn", "9b1f03aa5c7e2d41"}}));
-  ASSERT_TRUE(run_until([&] { return engine->counters().forwarded == 2; }))
-      << "the id can be used again";
+  if (GetParam()) {
+    ASSERT_TRUE(run_until([&] { return engine->counters().forwarded == 2; }))
+        << "the id can be used again";
+  } else {
+    ASSERT_TRUE(run_until([&] { return decode_responses(repeating->received).size() == 2; }));
+    EXPECT_EQ(decode_responses(repeating->received)[1].error, "Failed") << "it has run";
+    EXPECT_EQ(engine->counters().forwarded, 1u);
+  }
 }
 
 // Guards against closing a slow connection while a large request still arrives on it. The
--- a/tests/core/engine_test.cpp
+++ b/tests/core/engine_test.cpp
@@ -13,7 +13,10 @@
 // A front and an upstream client that record the calls they receive.
 struct Recorder : core::UpstreamClient, core::Front {
   void send(core::AttemptId attempt, ServerId) override { sent.push_back(attempt); }
-  void abort(core::AttemptId attempt) override { aborted.push_back(attempt); }
+  bool abort(core::AttemptId attempt) override {
+    aborted.push_back(attempt);
+    return false;
+  }
   void send_health_check(ServerId) override {}
   void respond(core::RequestHandle, const core::Response& response) override {
     final_statuses.push_back(response.status);
--- a/tests/hot_restart_test.cpp
+++ b/tests/hot_restart_test.cpp
@@ -443,16 +443,27 @@
 TEST_F(ReplacementTest, BothProcessesTogetherStayWithinTheMemoryLimit) {
   memory_mb = 128;
   is_sending = false;
-  ::setenv("ASAN_OPTIONS", "quarantine_size_mb=0", 1);  // returns freed memory immediately
+  // The sanitizer returns freed memory immediately and stores no stacks of allocations.
+  ::setenv("ASAN_OPTIONS", "quarantine_size_mb=0:malloc_context_size=0", 1);
   auto old_process = start();
   auto new_process = start();
   const auto resident = [&] {
     return old_process.program->resident_bytes() + new_process.program->resident_bytes();
   };
+  // Both processes serve requests first, so that `before` contains the code that they load for it.
+  std::uint64_t item_number = 0;
+  for (int i = 0; i < 8; ++i) {
+    const int fd = connect();
+    for (unsigned number = 1; number <= 4; ++number) {
+      const auto bytes = encode_request(number, id_of(1000 + ++item_number));
+      (void)!::send(fd, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+    }
+    run_for(60'000);
+    ::close(fd);
+  }
   const std::size_t before = resident();
   std::size_t max_resident = before;
   std::vector<int> readers;
-  std::uint64_t item_number = 0;
   for (int i = 0; i < 24; ++i) {
     const int fd = connect();
     const int buffer_bytes = 4096;
--- a/tests/rpc_front/open_calls_test.cpp
+++ b/tests/rpc_front/open_calls_test.cpp
@@ -8,7 +8,7 @@
 
 using namespace event_races;
 using loopback::CacheCommand;
-using loopback::kIdempotencyKey;
+using loopback::idempotency_key;
 using loopback::TestSocket;
 
 constexpr std::size_t kMaxBodyBytes = 240'000;
@@ -26,7 +26,7 @@
   }
   /// Returns a message of a call with a long body.
   static std::string long_message(unsigned id) {
-    return encode_request(id, "plan-accept", {{"unique", kIdempotencyKey}},
+    return encode_request(id, "plan-accept", {{"unique", idempotency_key(id)}},
                           std::string(40'000, 'w'));
   }
   /// Responds to all fetches and waits until the client has this number of responses.
--- a/tests/server_races_test.cpp
+++ b/tests/server_races_test.cpp
@@ -7,7 +7,7 @@
 
 using namespace event_races;
 using loopback::CacheCommand;
-using loopback::kIdempotencyKey;
+using loopback::idempotency_key;
 
 // ---- Endpoint updates while requests wait to be sent
 
@@ -71,9 +71,9 @@
     clients.push_back(connect_client(client_front->address()));
     for (int i = 0; i < 30; ++i) {
       ++request_count;
-      std::string request =
-          encode_request(request_count, "plan-accept",
-                         {{"unique", kIdempotencyKey}, {"item", object(request_count)}}, body);
+      std::string request = encode_request(
+          request_count, "plan-accept",
+          {{"unique", idempotency_key(request_count)}, {"item", object(request_count)}}, body);
       ASSERT_TRUE(write_all(*clients.back(), request));
     }
     ASSERT_TRUE(run_until([&] { return engine->counters().admitted == request_count; }));
@@ -107,8 +107,9 @@
   // Sends requests until an object has caches[1] as its first cache.
   while (caches[1].count("fetch") == 0) {
     ASSERT_LT(++request_count, 20u);
-    client->write(encode_request(request_count, "plan-accept",
-                                 {{"unique", kIdempotencyKey}, {"item", object(request_count)}}));
+    client->write(encode_request(
+        request_count, "plan-accept",
+        {{"unique", idempotency_key(request_count)}, {"item", object(request_count)}}));
     run_until([&, end = net::unix_now() + 100'000] {
       return caches[1].count("fetch") > 0 || net::unix_now() > end;
     });
@@ -121,7 +122,7 @@
   ASSERT_TRUE(run_until([&] { return net::unix_now() > window_end; }));
   ASSERT_TRUE(let_connect_complete());
   run_briefly();
-  EXPECT_FALSE(listener.has_received("dedupe=" + kIdempotencyKey) &&
+  EXPECT_FALSE(listener.has_received("dedupe=" + idempotency_key(request_count)) &&
                listener.has_received(object(request_count)));
   EXPECT_EQ(engine->counters().forwarded - sent,
             listener.has_received("fetch") ? request_count - 1 : 0u);
--- a/tests/support/rpc_messages.h
+++ b/tests/support/rpc_messages.h
@@ -17,6 +17,13 @@
 /// The idempotency key of requests whose class requires one.
 inline const std::string kIdempotencyKey = "5c0f6e1a2b3d4c59a8b7c6d5e4f30211";
 
+/// Returns an idempotency key of its own for each number.
+inline std::string idempotency_key(unsigned number) {
+  char key[33];
+  std::snprintf(key, sizeof key, "5c0f6e1a2b3d4c59a8b7c6d5%08x", number);
+  return key;
+}
+
 /// Returns the bytes that `pack` writes to the packer that it is called with.
 inline std::string pack_message(const std::function<void(msgpack_packer*)>& pack) {
   msgpack_sbuffer buffer;
--- a/tests/upstream/upstream_test.cpp
+++ b/tests/upstream/upstream_test.cpp
@@ -13,7 +13,7 @@
 using loopback::decode_responses;
 using loopback::encode_request;
 using loopback::FakeCache;
-using loopback::kIdempotencyKey;
+using loopback::idempotency_key;
 
 class UpstreamTest : public loopback::DiscoveryTest {};
 
@@ -23,7 +23,7 @@
   for (unsigned i = 1; i <= 4; ++i) {
     client->write(encode_request(
         i, "plan-accept",
-        {{"item", "000000000000000" + std::to_string(i)}, {"unique", kIdempotencyKey}}));
+        {{"item", "000000000000000" + std::to_string(i)}, {"unique", idempotency_key(i)}}));
     ASSERT_TRUE(run_until([&] { return caches[1].count("fetch") == i; }));
     FakeCache::respond(caches[1].commands.back(), "served", "ok");
     ASSERT_TRUE(run_until([&] { return decode_responses(client->received).size() == i; }));
@@ -271,7 +271,7 @@
   for (unsigned i = 1; i <= 6; ++i) {
     client->write(encode_request(i, "plan-accept",
                                  {{"item", "000000000000000" + std::to_string(i)},
-                                  {"unique", kIdempotencyKey},
+                                  {"unique", idempotency_key(i)},
                                   {"limit", limit}}));
   }
   std::size_t responded = 0;
