Hold back clients of the HTTP servers that do not read their responses

Callers of the signed front could make the process grow past its memory limit, after which the platform kills it with the requests of all clients: 308.8 MiB by one client that sent requests for unknown paths at full speed and read nothing (limit 192), 896.9 MiB by 100 clients that asked for 60 large objects each and read nothing (limit 32).

Cause: the next request of a connection was handled as soon as the response before it was queued, and nothing bounded the queue. The front had no limit on memory, and the platform's front did not count what the signed front held. The discovery server had the same loop.

Now a request is handled once the kernel has taken the response before it, and a connection whose client does not read is not read either while 16 KiB of requests are queued. The engine's ResponseMemory sums expected and queued responses of all fronts; each front admits within it, the signed front up to 1/8 of the memory.

--- a/src/core/engine.h
+++ b/src/core/engine.h
@@ -66,6 +66,14 @@
   bool timed_out = false;  // the request's deadline has passed
 };
 
+/// The memory that responses take at all fronts of a process, in bytes. Each front adds its own
+/// share, so that all of them admit requests within one limit.
+struct ResponseMemory {
+  std::size_t expected = 0;  // responses to open requests
+  std::size_t queued = 0;    // responses that the kernel has not accepted yet
+  std::size_t total() const { return expected + queued; }
+};
+
 /// Accepts requests from clients and sends the final answers to them.
 class Front {
  public:
@@ -216,6 +224,9 @@
   std::size_t open_request_count() const { return open_request_count_; }
   /// Returns the total size of the bodies that are held for requests, in bytes.
   std::size_t open_request_bytes() const { return open_request_bytes_; }
+  /// Returns the account of the memory that responses take, which the fronts keep up to date.
+  ResponseMemory& response_memory() { return response_memory_; }
+  const ResponseMemory& response_memory() const { return response_memory_; }
   /// Returns the status of each listed cache in this router's location.
   std::vector<alderspur::EndpointStatus> endpoint_statuses();
   /// Numbers of endpoints, as returned by count_endpoints().
@@ -303,6 +314,7 @@
   AttemptId last_attempt_ = 0;
   std::size_t open_request_count_ = 0;
   std::size_t open_request_bytes_ = 0;
+  ResponseMemory response_memory_;
 };
 
 }  // namespace alderspur::core
--- a/src/rpc_front/response_size.cpp
+++ b/src/core/response_size.cpp
@@ -1,8 +1,8 @@
-#include "rpc_front/response_size.h"
+#include "core/response_size.h"
 
 #include <algorithm>
 
-namespace alderspur::rpc_front {
+namespace alderspur::core {
 namespace {
 
 /// The largest body that the protocol allows.
@@ -23,7 +23,7 @@
 ResponseSizeEstimator::ResponseSizeEstimator(const config::Config& config)
     : bytes_per_kb_(bytes_per_kb(config)), average_bytes_(config.names.classes.size()) {}
 
-std::size_t ResponseSizeEstimator::estimate(const core::RequestView& request) const {
+std::size_t ResponseSizeEstimator::estimate(const RequestView& request) const {
   double bytes = kInitialBodyBytes;
   const auto& average = average_bytes_[request.class_id];
   if (request.size_kb > 0 && bytes_per_kb_ > 0) {
@@ -38,4 +38,4 @@
   average_bytes_[class_id].add_sample(static_cast<double>(bytes));
 }
 
-}  // namespace alderspur::rpc_front
+}  // namespace alderspur::core
--- a/src/rpc_front/response_size.h
+++ b/src/core/response_size.h
@@ -9,14 +9,14 @@
 #include "core/engine.h"
 #include "estimators/estimators.h"
 
-namespace alderspur::rpc_front {
+namespace alderspur::core {
 
 /// Estimates response sizes from the sizes that requests name, and from earlier responses.
 class ResponseSizeEstimator {
  public:
   explicit ResponseSizeEstimator(const config::Config& config);
   /// Returns the expected size of the body of the response, in bytes.
-  std::size_t estimate(const core::RequestView& request) const;
+  std::size_t estimate(const RequestView& request) const;
   /// Records the size of the body of a response to a request of this class.
   void record(std::uint32_t class_id, std::size_t bytes);
 
@@ -25,4 +25,4 @@
   std::vector<estimators::MovingAverage> average_bytes_;  // by class
 };
 
-}  // namespace alderspur::rpc_front
+}  // namespace alderspur::core
--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -52,7 +52,7 @@
 
 void Connection::update_watcher() {
   if (is_closed_) return;
-  const bool reads = !is_connecting_ && !has_input_ended_;
+  const bool reads = !is_connecting_ && !has_input_ended_ && (!is_reading_paused_ || is_lingering_);
   const bool writes = is_connecting_ || unwritten() > 0;
   watcher_->want((reads ? EV_READ : 0) | (writes ? EV_WRITE : 0));
 }
@@ -66,6 +66,10 @@
   update_account();
 }
 
+void Connection::pause_reading(bool is_paused) {
+  if (std::exchange(is_reading_paused_, is_paused) != is_paused) update_watcher();
+}
+
 // Keeps the read buffer, since views of it may still be in use in this turn.
 void Connection::close() {
   if (is_closed_) return;
--- a/src/net/connection.h
+++ b/src/net/connection.h
@@ -64,6 +64,9 @@
   /// Discards the input that was not consumed, and all input that follows. on_data is no longer
   /// called; on_close still is.
   void stop_parsing();
+  /// Stops or continues to read from the socket. While reading is paused, the kernel holds the peer
+  /// back, and the end of its input goes unnoticed.
+  void pause_reading(bool is_paused);
   /// Closes the connection immediately and does not call on_close. Discards unsent bytes. If input
   /// is unread, the kernel resets the connection.
   void close();
@@ -118,6 +121,7 @@
   bool is_connecting_;
   bool is_closed_ = false;
   bool has_input_ended_ = false;
+  bool is_reading_paused_ = false;
   bool has_stopped_parsing_ = false;
   bool is_lingering_ = false;
   bool has_shut_down_sending_ = false;  // only set while lingering
--- a/src/rpc_front/rpc_front.cpp
+++ b/src/rpc_front/rpc_front.cpp
@@ -261,6 +261,7 @@
   client.has_sent_request = true;
   open_calls_[request] = {&client, call.id, request_class.id, expected_bytes};
   expected_bytes_ += expected_bytes;
+  engine_.response_memory().expected += expected_bytes;
 }
 
 void RpcFront::reject_invalid(Client& client, const Call& call, std::uint32_t class_id) {
@@ -291,6 +292,7 @@
   const auto node = open_calls_.extract(request);
   if (node.empty()) return {};
   expected_bytes_ -= node.mapped().expected_bytes;
+  engine_.response_memory().expected -= node.mapped().expected_bytes;
   return node.mapped();
 }
 
--- a/src/rpc_front/rpc_front.h
+++ b/src/rpc_front/rpc_front.h
@@ -14,9 +14,9 @@
 
 #include "config/config.h"
 #include "core/engine.h"
+#include "core/response_size.h"
 #include "net/connection.h"
 #include "net/listener.h"
-#include "rpc_front/response_size.h"
 #include "rpc_front/rpc_codec.h"
 
 namespace alderspur::rpc_front {
@@ -132,7 +132,7 @@
   core::Engine& engine_;
   const config::Config& config_;
   std::unordered_map<std::string, RequestClass> classes_;
-  ResponseSizeEstimator response_sizes_;
+  core::ResponseSizeEstimator response_sizes_;
   std::size_t max_clients_;
   std::size_t memory_limit_;
   core::Time message_timeout_;  // for a whole message, even one that arrives steadily
--- a/src/rpc_front/rpc_front_limits.cpp
+++ b/src/rpc_front/rpc_front_limits.cpp
@@ -119,7 +119,7 @@
   if (is_draining_ || client.is_ending) return false;
   if (client.queued_bytes > kMaxQueueBytesForNewCalls) return false;
   if (client.open_calls.size() >= kMaxOpenCalls) return false;
-  return engine_.open_request_bytes() + queued_bytes_ + expected_bytes_ + expected_bytes <=
+  return engine_.open_request_bytes() + engine_.response_memory().total() + expected_bytes <=
          admission_limit();
 }
 
@@ -131,7 +131,9 @@
   const std::size_t queued = client.is_closed ? 0 : client.connection->unwritten();
   const std::size_t unread = client.is_closed ? 0 : client.connection->unread();
   if (queued == 0 && client.queued_bytes > 0) client.idle_since = engine_.now();
-  queued_bytes_ += queued - std::exchange(client.queued_bytes, queued);
+  const std::size_t previously_queued = std::exchange(client.queued_bytes, queued);
+  queued_bytes_ += queued - previously_queued;
+  engine_.response_memory().queued += queued - previously_queued;
   unread_bytes_ += unread - std::exchange(client.unread_bytes, unread);
 }
 
--- a/src/signed_url/http_front.cpp
+++ b/src/signed_url/http_front.cpp
@@ -17,8 +17,18 @@
 constexpr core::Time kIdleTimeout = 15'000'000;
 constexpr core::Time kHeadTimeout = 10'000'000;
 constexpr core::Time kWriteTimeout = 30'000'000;
-/// Limit on the bytes of queued pipelined requests. A connection that exceeds it is closed.
+/// Limit on the bytes of requests that are queued behind an open one. A connection that exceeds it
+/// is closed.
 constexpr std::size_t kMaxInputBytes = 64 << 10;
+/// A connection with more bytes of queued requests is not read while its client does not read.
+constexpr std::size_t kMaxQueuedRequestBytes = 16 << 10;
+/// The divisors that give fractions of the memory limit: for the responses at all fronts together,
+/// for those at this front, and the margin for responses that are larger than expected.
+constexpr std::size_t kAllResponsesDivisor = 4;
+constexpr std::size_t kOwnResponsesDivisor = 8;
+constexpr std::size_t kMarginDivisor = 32;
+/// The retry-after time in the rejection of a request for which there is no memory.
+constexpr core::Time kRetryAfter = 1'000'000;
 /// One client may be connected per this many file descriptors that the process may open.
 constexpr std::size_t kDescriptorsPerClient = 8;
 constexpr core::Time kMicrosecondsPerSecond = 1'000'000;
@@ -99,14 +109,19 @@
   bool is_gone() const { return state == State::closed || state == State::lingering; }
   bool has_open_request() const { return request_handle != 0; }
   /// Reports whether the next request in the read buffer may be handled.
-  bool accepts_request() const { return state == State::open && !has_open_request(); }
+  bool accepts_request() const {
+    return state == State::open && !has_open_request() && connection->unwritten() == 0;
+  }
 
   std::unique_ptr<net::Connection> connection;
   State state = State::open;
   /// Handle of the open request; 0 if there is none. Because only one request is open at a time,
   /// responses are sent in the order of the requests.
   core::RequestHandle request_handle = 0;
+  std::uint32_t class_id = 0;                     // of the open request
   std::unique_ptr<LimitReservation> reservation;  // held by the open request
+  std::size_t expected_bytes = 0;                 // of the response to the open request
+  std::size_t queued_bytes = 0;                   // of responses that are not written yet
   bool is_head_request = false;
   bool keep_alive = true;
   core::Time accepted_at = 0;
@@ -127,6 +142,8 @@
       verifier_(settings.keys, settings.clock_skew_seconds),
       random_state_(config.seed ^ kSeedSalt),
       max_clients_(static_cast<std::size_t>(config.max_descriptors) / kDescriptorsPerClient),
+      memory_limit_(config.memory_mb << 20),
+      response_sizes_(config),
       listener_(
           loop, deadlines, net::parse_address(settings.listen).value_or(sockaddr_in{}),
           [this] { return may_accept(); }, [this](net::Fd fd) { accept(std::move(fd)); }) {}
@@ -179,6 +196,8 @@
   mark_active(client);
   deadlines_.cancel(client.timeout);
   if (!is_lingering) client.connection->close();
+  expect_response(client, 0);
+  update_queued_bytes(client);
   if (!client.has_open_request()) return;
   clients_by_request_.erase(client.request_handle);
   engine_.cancel_request(client.request_handle);
@@ -190,6 +209,10 @@
   while (client.accepts_request() && client.connection->reoffer_unread()) {
     client.connection->end_turn();
   }
+  update_queued_bytes(client);
+  client.connection->pause_reading(!client.has_open_request() &&
+                                   client.connection->unwritten() > 0 &&
+                                   client.connection->unread() >= kMaxQueuedRequestBytes);
   if (client.state == Client::State::closing && client.connection->unwritten() == 0) {
     close(client, CloseMode::lingering);
   }
@@ -224,7 +247,7 @@
   if (!client.accepts_request()) {
     // Reading continues while a request is open. Otherwise the front would not detect that the
     // client has disconnected.
-    if (size > kMaxInputBytes) close(client, CloseMode::lingering);
+    if (client.has_open_request() && size > kMaxInputBytes) close(client, CloseMode::lingering);
     return 0;
   }
   const auto request = http::next_request(bytes);
@@ -289,6 +312,14 @@
   const auto claims = parse_claims(verification.claims);
   if (!claims) return respond(client, 400);
 
+  core::RequestView view;
+  view.class_id = match->class_id;
+  view.size_kb = claims->size_kb;
+  const std::size_t expected_bytes = response_sizes_.estimate(view);
+  if (!has_capacity(expected_bytes)) {
+    ++engine_.counters().over_limit;
+    return respond(client, 503, over_limit(kRetryAfter));
+  }
   if (route_selector_) {
     const auto admission = route_selector_->admit(*match, engine_.now());
     if (!admission.is_admitted) {
@@ -297,22 +328,47 @@
     }
   }
   const auto id = make_request_id();
-  core::RequestView view;
   view.id = id;
   view.client_copy_tag = http::bare_tag(request.if_none_match);
   view.object_text = match->object;
   view.object = resource->object;
   view.part = resource->part;
-  view.class_id = match->class_id;
   view.group = claims->group;
-  view.size_kb = claims->size_kb;
   view.time_limit = match->time_limit;
+  expect_response(client, expected_bytes);
   admit(client, view, std::move(match->reservation));
 }
 
+bool HttpFront::has_capacity(std::size_t expected_bytes) const {
+  const std::size_t at_all_fronts =
+      engine_.open_request_bytes() + engine_.response_memory().total();
+  return response_memory_.total() + expected_bytes <= memory_limit_ / kOwnResponsesDivisor &&
+         at_all_fronts + expected_bytes <= memory_limit_ / kAllResponsesDivisor;
+}
+
+// A response may be larger than expected.
+bool HttpFront::has_memory_for(const core::Response& response) const {
+  const std::size_t limit = memory_limit_ / kOwnResponsesDivisor + memory_limit_ / kMarginDivisor;
+  return response.body.empty() || response_memory_.queued + response.body.size() <= limit;
+}
+
+void HttpFront::expect_response(Client& client, std::size_t bytes) {
+  const std::size_t previous = std::exchange(client.expected_bytes, bytes);
+  response_memory_.expected += bytes - previous;
+  engine_.response_memory().expected += bytes - previous;
+}
+
+void HttpFront::update_queued_bytes(Client& client) {
+  const std::size_t queued = client.is_gone() ? 0 : client.connection->unwritten();
+  const std::size_t previous = std::exchange(client.queued_bytes, queued);
+  response_memory_.queued += queued - previous;
+  engine_.response_memory().queued += queued - previous;
+}
+
 void HttpFront::admit(Client& client, const core::RequestView& view,
                       std::unique_ptr<LimitReservation> reservation) {
   client.reservation = std::move(reservation);
+  client.class_id = view.class_id;
   client.request_handle = engine_.admit(*this, view);
   clients_by_request_[client.request_handle] = &client;
   deadlines_.cancel(client.timeout);
@@ -335,7 +391,14 @@
   clients_by_request_.erase(found);
   client.request_handle = 0;
   release_reservation(client);
-  respond(client, status_of(response), response);
+  expect_response(client, 0);
+  if (response.status == core::FinalStatus::served) {
+    response_sizes_.record(client.class_id, response.body.size());
+  }
+  if (has_memory_for(response)) return respond(client, status_of(response), response);
+  ++engine_.counters().over_limit;
+  engine_.count_undelivered(client.class_id);
+  respond(client, 503, over_limit(kRetryAfter));
 }
 
 void HttpFront::respond(Client& client, int status, const core::Response& response) {
@@ -349,6 +412,7 @@
   head.keep_alive = client.keep_alive;
   const auto body = client.is_head_request ? std::string_view() : response.body;
   client.connection->write(http::encode_response_head(head), body);
+  update_queued_bytes(client);
   mark_active(client);
   if (!client.keep_alive) client.state = Client::State::closing;
   restart_timeout(client, client.connection->unwritten() ? kWriteTimeout : kIdleTimeout);
--- a/src/signed_url/http_front.h
+++ b/src/signed_url/http_front.h
@@ -1,8 +1,10 @@
 // The signed-URL front serves HTTP clients whose requests carry a signed link, a cookie or a bearer
 // token. It passes the requests to the same engine as all other fronts.
 //
-// Each connection has at most one open request; further requests are queued in its read buffer. A
-// request is verified once, on arrival, and is served even if its token expires before the
+// Each connection has at most one open request. Further requests are queued in its read buffer
+// until the response has been passed to the kernel, and the connection is not read while many are
+// queued. Requests are rejected while the responses at all fronts exceed their share of the memory.
+// A request is verified once, on arrival, and is served even if its token expires before the
 // response. Clients may use an eighth of the process's file descriptors. Timeouts limit how long a
 // client may take to send the head of a request, to send the next request, and to read a response.
 // The front runs on the thread of the event loop. Times are in microseconds.
@@ -20,6 +22,7 @@
 
 #include "config/config.h"
 #include "core/engine.h"
+#include "core/response_size.h"
 #include "http/message.h"
 #include "net/connection.h"
 #include "net/listener.h"
@@ -82,6 +85,10 @@
              std::unique_ptr<LimitReservation> reservation);
   void respond(Client& client, int status, const core::Response& response = {});
   void release_reservation(Client& client);
+  bool has_capacity(std::size_t expected_bytes) const;
+  bool has_memory_for(const core::Response& response) const;
+  void expect_response(Client& client, std::size_t bytes);
+  void update_queued_bytes(Client& client);
   void close(Client& client, CloseMode mode);
   void mark_active(Client& client);
   void flush(Client& client);
@@ -99,6 +106,9 @@
   std::uint64_t random_state_;
   bool is_draining_ = false;
   std::size_t max_clients_;
+  std::size_t memory_limit_;  // of the process
+  core::ResponseSizeEstimator response_sizes_;
+  core::ResponseMemory response_memory_;          // this front's share of the engine's account
   std::vector<std::unique_ptr<Client>> clients_;  // unordered; each stores its index
   std::vector<Client*> active_clients_;           // to be visited by end_turn(), each once
   std::unordered_map<core::RequestHandle, Client*> clients_by_request_;
--- a/src/xds/server.cpp
+++ b/src/xds/server.cpp
@@ -7,6 +7,8 @@
 
 constexpr std::size_t kMaxHeadBytes = 8 << 10;
 constexpr std::size_t kMaxBodyBytes = 64 << 10;
+/// A connection with more bytes of queued requests is not read until they have been handled.
+constexpr std::size_t kMaxQueuedRequestBytes = 16 << 10;
 /// In microseconds. It is several times the interval at which proxies poll.
 constexpr core::Time kIdleTimeout = 60'000'000;
 constexpr std::string_view kEndpointsPath = "/v3/discovery:endpoints";
@@ -22,6 +24,9 @@
   };
 
   bool is_closed() const { return state == State::closed; }
+  /// Reports whether the next request in the read buffer may be handled. A client that reads
+  /// nothing must not make responses pile up.
+  bool accepts_request() const { return state == State::open && connection->unwritten() == 0; }
 
   std::unique_ptr<net::Connection> connection;  // null once handed over for a lingering close
   core::Deadlines::Key timeout{};
@@ -60,6 +65,7 @@
 std::ptrdiff_t Server::on_data(Client& client, std::string_view bytes) {
   const auto size = bytes.size();
   if (client.state == Client::State::closing) return static_cast<std::ptrdiff_t>(size);
+  if (!client.accepts_request()) return 0;
   const auto request = http::next_request(bytes, {kMaxHeadBytes, kMaxBodyBytes});
   if (!request) return 0;
   const bool keep_alive = !request->error_status && request->keep_alive;
@@ -112,9 +118,11 @@
 void Server::flush(Client& client) {
   if (client.is_closed()) return;
   client.connection->end_turn();
-  while (client.state == Client::State::open && client.connection->reoffer_unread()) {
+  while (client.accepts_request() && client.connection->reoffer_unread()) {
     client.connection->end_turn();
   }
+  client.connection->pause_reading(!client.accepts_request() &&
+                                   client.connection->unread() >= kMaxQueuedRequestBytes);
   const bool is_written = !client.is_closed() && client.connection->unwritten() == 0;
   if (client.state == Client::State::closing && is_written) close_lingering(client);
 }
