Apply purges of any group to requests whose group is unknown

Callers with signed links or tokens that name no group got copies from before a purge of their group.

Cause: a missing claim became group 0, and only purges of group 0 were looked up.

A request can now say that its group is unknown; the latest purge of any group then limits the age of its copies, in the send rules and for attempts that are not written yet. A copy from before the purge is refused whatever its group, so the rule holds without knowing it.

A known group 0 keeps its meaning.

--- a/include/alderspur/router.h
+++ b/include/alderspur/router.h
@@ -219,6 +219,8 @@
   std::uint64_t content_hash = 0;
   /// The client says that it has tried before.
   bool is_retry = false;
+  /// `group` is unknown, so that a purge of any group may apply to the object.
+  bool is_group_unknown = false;
 };
 
 /// How an attempt ended.
--- a/src/core/engine.h
+++ b/src/core/engine.h
@@ -48,8 +48,9 @@
   std::uint32_t group = 0;
   std::uint32_t part = 0;
   double size_kb = 0;
-  Time time_limit = 0;    // the client waits this long after it has sent the request
-  bool is_retry = false;  // the client says that it has tried before
+  Time time_limit = 0;            // the client waits this long after it has sent the request
+  bool is_retry = false;          // the client says that it has tried before
+  bool is_group_unknown = false;  // `group` is not used
 };
 
 /// The kind of a final answer. `rejected`: the request did not run at any server, so the client can
--- a/src/core/engine_endpoints.cpp
+++ b/src/core/engine_endpoints.cpp
@@ -15,7 +15,8 @@
 // Returns whether the purge covers the request's object.
 bool is_covered(const alderspur::Request& request, const alderspur::Purge& purge) {
   if (purge.covers_everything) return true;
-  return purge.object ? *purge.object == request.object : purge.group == request.group;
+  if (purge.object) return *purge.object == request.object;
+  return request.is_group_unknown || purge.group == request.group;
 }
 
 }  // namespace
--- a/src/core/engine_requests.cpp
+++ b/src/core/engine_requests.cpp
@@ -54,6 +54,7 @@
   request.part = view.part;
   request.size_kb = view.size_kb;
   request.is_retry = view.is_retry;
+  request.is_group_unknown = view.is_group_unknown;
   if (view.class_id >= settings_.classes.size()) return request;
   const alderspur::ClassSettings& settings = settings_.classes[view.class_id];
   request.is_write = settings.never_cached;
--- a/src/policy_state/purge_table.cpp
+++ b/src/policy_state/purge_table.cpp
@@ -16,15 +16,23 @@
 }
 
 Time PurgeTable::last_purge(const Request& request) const {
-  Time latest = latest_full_purge_;
-  for (const Key& key : {Key{true, request.object.value}, Key{false, request.group.value}}) {
-    if (const auto found = latest_.find(key); found != latest_.end()) {
-      latest = std::max(latest, found->second);
-    }
+  Time latest = std::max(latest_full_purge_, last_purge_of({true, request.object.value}));
+  if (!request.is_group_unknown) {
+    return std::max(latest, last_purge_of({false, request.group.value}));
+  }
+  // The keys of groups come before those of objects.
+  for (const auto& [key, purged_at] : latest_) {
+    if (key.is_object) break;
+    latest = std::max(latest, purged_at);
   }
   return latest;
 }
 
+Time PurgeTable::last_purge_of(const Key& key) const {
+  const auto found = latest_.find(key);
+  return found == latest_.end() ? -1 : found->second;
+}
+
 void PurgeTable::remove_before(Time time) {
   std::erase_if(latest_, [time](const auto& entry) { return entry.second < time; });
   if (latest_full_purge_ < time) latest_full_purge_ = -1;
--- a/src/signed_url/http_front.cpp
+++ b/src/signed_url/http_front.cpp
@@ -72,10 +72,10 @@
   return ResourceId{*object, *part};
 }
 
-/// The claims of a token as numbers. A claim that the token does not contain is 0.
+/// The claims of a token as numbers.
 struct ResourceClaims {
-  std::uint32_t group = 0;
-  double size_kb = 0;
+  std::optional<std::uint32_t> group;
+  double size_kb = 0;  // 0: the token does not contain it
 };
 
 /// Returns nullopt if a claim is present but is not a number.
@@ -84,7 +84,7 @@
   const auto size_kb = core::parse_number<double>(claims.size_kb);
   if (!claims.group.empty() && !group) return std::nullopt;
   if (!claims.size_kb.empty() && !size_kb) return std::nullopt;
-  return ResourceClaims{group.value_or(0), size_kb.value_or(0)};
+  return ResourceClaims{group, size_kb.value_or(0)};
 }
 
 /// Returns the response to a request that exceeds the limits of its route.
@@ -333,7 +333,8 @@
   view.object_text = match->object;
   view.object = resource->object;
   view.part = resource->part;
-  view.group = claims->group;
+  view.group = claims->group.value_or(0);
+  view.is_group_unknown = !claims->group;
   view.time_limit = match->time_limit;
   expect_response(client, expected_bytes);
   admit(client, view, std::move(match->reservation));
--- a/tests/policy/send_rules_test.cpp
+++ b/tests/policy/send_rules_test.cpp
@@ -218,4 +218,24 @@
   EXPECT_GT(std::get<Reject>(*reject).retry_after, 0);
 }
 
+// Requests by links and tokens without a group were answered with copies from before a purge of
+// their group (review/10): an unknown group counted as group 0.
+TEST(SendRulesTest, LimitsAgeAfterPurgeOfAnyGroupWhenGroupIsUnknown) {
+  for (const std::uint32_t purged_group : {0U, 17U}) {
+    RouterFixture fixture;
+    Request request{{1000}, {7}, {0}, {kPageClass}, 0, 100, 5 * kSecond};
+    request.is_group_unknown = true;
+    fixture.handle(Purge{std::nullopt, {purged_group}, kSecond});
+    fixture.handle(Purge{ObjectId{8}, {}, 0});  // of another object
+    fixture.advance(kSecond);
+    fixture.handle(request);
+    const auto& sends = fixture.sends[request.id];
+    ASSERT_EQ(sends.size(), 1U);
+    ASSERT_TRUE(sends[0].fill.has_value());
+    EXPECT_GT(sends[0].fill->max_age, 0);
+    EXPECT_LE(sends[0].fill->max_age, 2 * kSecond) << "group " << purged_group;
+    EXPECT_FALSE(sends[0].fill->may_join);
+  }
+}
+
 }  // namespace
--- a/tests/signed_test.cpp
+++ b/tests/signed_test.cpp
@@ -226,4 +226,17 @@
   EXPECT_EQ(engine->counters().cancelled, 1u);
 }
 
+// A link without a group must not be served a copy from before the purge of any group (review/10).
+TEST_F(SignedUrlTest, LimitsAgeOfCopiesAfterPurgeWhenLinkNamesNoGroup) {
+  core::PurgeNotice purge;
+  purge.group = 17;
+  purge.unix_time = net::unix_now() - 1'000'000;
+  engine->purge(purge);
+  const std::string text = std::string(kPath) + "?exp=" + std::to_string(now() + 60) + "&kid=new";
+  EXPECT_EQ(status(get(sign(text))), 200);
+  const std::string& limit = fetch_command()->fields["agelim"];
+  ASSERT_FALSE(limit.empty());
+  EXPECT_LE(std::stoi(limit), 10'000) << "the fresh time is 60 s";
+}
+
 }  // namespace
