Wait for a message that falls quiet for as long as its client waits

Callers lost requests whose message fell quiet for 3 s on its way: the router closed the connection 2 s after the last byte and never answered, while the client waited 5 s.

Cause: the bound on silence (2 s) applied within a message too; the longest time limit of a class bounded only messages that kept arriving.

A message may now take the longest time limit of a class in any case. A client that is silent within a message for 2 s is closed earlier only when a new client needs its slot and nothing is open on it.

OpenCallsTest.AreAnsweredWhenTheirMessageFallsQuietForThreeSeconds failed before (the connection was closed).

--- a/src/rpc_front/rpc_client.h
+++ b/src/rpc_front/rpc_client.h
@@ -15,8 +15,9 @@
 
 /// The platform allows at most this many open calls on one connection.
 constexpr std::size_t kMaxOpenCalls = 32;
-/// A connection without an open call is closed if its client has not sent a first message, or has
-/// not continued an incomplete message, for this time.
+/// A connection without an open call is closed if its client has not begun a first message for this
+/// time, or to make room for a new client if it has not continued an incomplete message for so
+/// long.
 constexpr core::Time kSilenceTimeout = 2'000'000;
 /// The first message of a new client is expected within this time. Until then, a graceful shutdown
 /// and the choice of an idle connection to close both spare the client.
--- a/src/rpc_front/rpc_front.h
+++ b/src/rpc_front/rpc_front.h
@@ -114,6 +114,7 @@
   void check_all_clients();
   void check_client(Client& client, core::Time now);
   void record_delivery(Client& client, core::Time now);
+  bool is_overdue(const Client& client, core::Time now) const;
   bool is_silent(const Client& client, core::Time now) const;
   std::size_t admission_limit() const;
   std::size_t response_limit() const;
--- a/src/rpc_front/rpc_front_limits.cpp
+++ b/src/rpc_front/rpc_front_limits.cpp
@@ -199,14 +199,19 @@
   client.idle_since = now;
 }
 
-// A message may be long and the network may be slow. As long as parts of a message keep arriving,
-// it may take up to message_timeout_, the longest time limit of any request class.
+// A message may be long, and the network may be slow or fall quiet. A message may take up to
+// message_timeout_, the longest time limit of any request class, since its client waits for so
+// long.
+bool RpcFront::is_overdue(const Client& client, core::Time now) const {
+  if (client.partial_since) return now > client.partial_since + message_timeout_;
+  return !client.has_sent_message && now > client.accepted_at + kSilenceTimeout;
+}
+
+// Clients that have fallen quiet within a message are closed earlier than overdue ones only if
+// their connections are needed for new clients.
 bool RpcFront::is_silent(const Client& client, core::Time now) const {
-  if (!client.partial_since) {
-    return !client.has_sent_message && now > client.accepted_at + kSilenceTimeout;
-  }
   const core::Time last_active_at = std::max(client.idle_since, client.connection->last_read_at());
-  return now > last_active_at + kSilenceTimeout || now > client.partial_since + message_timeout_;
+  return now > last_active_at + kSilenceTimeout || is_overdue(client, now);
 }
 
 // Only a client that awaits no response is closed for being silent or idle. While it awaits
@@ -222,7 +227,7 @@
   if (is_slow_reader) {
     ++counters.slow_readers;
     close(client, CloseMode::immediate);
-  } else if (may_close && is_silent(client, now)) {
+  } else if (may_close && is_overdue(client, now)) {
     ++counters.silent_clients;
     close(client, CloseMode::lingering);
   } else if (may_close && is_idle) {
--- a/tests/rpc_front/open_calls_test.cpp
+++ b/tests/rpc_front/open_calls_test.cpp
@@ -230,4 +230,21 @@
   EXPECT_EQ(fetch_count(), fetches);
 }
 
+// Guards against a request that is never answered because its message fell quiet for 3 s on its way
+// (review/9).
+TEST_F(OpenCallsTest, AreAnsweredWhenTheirMessageFallsQuietForThreeSeconds) {
+  auto first = connect_client(client_front->address());
+  auto second = open_call(1);
+  ASSERT_TRUE(gets_responses(*second, 1));
+  const std::string message = encode_request(2, "asset", {{"item", object(2)}});
+  for (auto* client : {first.get(), second.get()}) client->write(message.substr(0, 60));
+  run_for(3'000'000);
+  for (auto* client : {first.get(), second.get()}) {
+    ASSERT_FALSE(client->is_closed);
+    client->write(message.substr(60));
+    ASSERT_TRUE(run_until([&] { return fetch_count() == 1; }));
+    EXPECT_TRUE(gets_responses(*client, client == first.get() ? 1 : 2));
+  }
+}
+
 }  // namespace
