Close a busy slow reader in a hand-over only once it has its responses

Cause: after finish_now a client was closed as soon as the kernel had all bytes. The lingering close ends after 1 s, and the next request of the client is met by a reset, which discards what was not delivered. The mended half asked for undelivered bytes in may_close_now only.

Both ways to the close share one condition now: at most 50,000 bytes are on their way to the client. It is also checked periodically, since a client that only reads causes no turn.

--- a/src/rpc_front/rpc_client.h
+++ b/src/rpc_front/rpc_client.h
@@ -23,6 +23,10 @@
 /// and the choice of an idle connection to close both spare the client.
 constexpr core::Time kNewClientGrace = 150'000;
 
+/// A client is closed while at most this many bytes are on their way to it. The slowest clients
+/// read 1 MB a second, and a request that crosses a close within 50 ms is sent again.
+constexpr std::size_t kMaxUndeliveredBytes = 50'000;
+
 /// One client's connection, its open calls and the state that its timeouts and limits depend on.
 struct RpcFront::Client {
   std::unique_ptr<net::Connection> connection;
--- a/src/rpc_front/rpc_front.cpp
+++ b/src/rpc_front/rpc_front.cpp
@@ -127,9 +127,7 @@
     if (client->is_closed) continue;
     client->connection->end_turn();
     update_byte_counts(*client);
-    const bool has_ended =
-        client->is_ending && client->open_calls.empty() && client->connection->unwritten() == 0;
-    if (has_ended || (client->has_sent_message && may_close_now(*client))) {
+    if (has_ended(*client) || (client->has_sent_message && may_close_now(*client))) {
       close(*client, CloseMode::lingering);
     }
   }
@@ -142,6 +140,16 @@
   }
 }
 
+// A client that reads slowly may need seconds for the responses that the kernel holds. It may send
+// further requests meanwhile, and once the connection is closed, those would reset it.
+bool RpcFront::has_received_most(const Client& client) const {
+  return !client.awaits_responses() && client.connection->unacknowledged() <= kMaxUndeliveredBytes;
+}
+
+bool RpcFront::has_ended(const Client& client) const {
+  return client.is_ending && has_received_most(client);
+}
+
 bool RpcFront::is_idle() const {
   return open_calls_.empty() &&
          std::all_of(clients_.begin(), clients_.end(), [](const auto& client) {
--- a/src/rpc_front/rpc_front.h
+++ b/src/rpc_front/rpc_front.h
@@ -100,6 +100,8 @@
   void reply(Client& client, std::uint64_t call_id, const core::Response& response);
   void on_closed(Client& client, net::CloseReason reason);
   void close(Client& client, CloseMode mode);
+  bool has_received_most(const Client& client) const;
+  bool has_ended(const Client& client) const;
   void mark_changed(Client& client);
   void remove(Client& client);
 
--- a/src/rpc_front/rpc_front_drain.cpp
+++ b/src/rpc_front/rpc_front_drain.cpp
@@ -14,9 +14,6 @@
 /// successor is expected to finish within this time.
 constexpr core::Time kHandshakeTime = 100'000;
 constexpr core::Time kDrainCheckInterval = 10'000;
-/// A client is closed while at most this many bytes are on their way to it. The slowest clients
-/// read 1 MB a second, and a request that crosses a close within 50 ms is sent again.
-constexpr std::size_t kMaxUndeliveredBytes = 50'000;
 
 }  // namespace
 
@@ -103,6 +100,7 @@
 // minimum number of open calls. In the second third it closes the client when the number is down to
 // that minimum, in the last third when it is at most one above it, and at the end in any case.
 void RpcFront::check_client_drain(Client& client, core::Time now) {
+  if (has_ended(client)) return close(client, CloseMode::lingering);
   if (may_close_now(client)) {
     if (client.has_sent_message || now > client.accepted_at + kNewClientGrace) {
       close(client, CloseMode::lingering);
@@ -124,13 +122,12 @@
 // pending. There is no need to wait longer: the time for which a client has been idle does not
 // predict when it sends its next request. A client that always has a request pending is not closed
 // here, and the calls that it has open when the process ends are lost. Bytes that have arrived but
-// were not read yet count as a pending request. A client that reads slowly may need seconds for the
-// responses that the kernel holds, and would send requests to a connection that is closed already.
+// were not read yet count as a pending request.
 bool RpcFront::may_close_now(const Client& client) const {
   if (!is_handing_off_ && !is_draining_) return false;
   const net::Connection& connection = *client.connection;
-  return !client.is_closed && !client.awaits_responses() && connection.unread() == 0 &&
-         !connection.has_input_waiting() && connection.unacknowledged() <= kMaxUndeliveredBytes;
+  return !client.is_closed && connection.unread() == 0 && !connection.has_input_waiting() &&
+         has_received_most(client);
 }
 
 // Sends the final responses to all open calls in this turn. Later calls are rejected.
--- a/src/rpc_front/rpc_front_limits.cpp
+++ b/src/rpc_front/rpc_front_limits.cpp
@@ -224,7 +224,9 @@
   const bool may_close = !client.awaits_responses();
   const bool is_idle = !client.partial_since && now > client.idle_since + kIdleTimeout;
   auto& counters = engine_.counters();
-  if (is_slow_reader) {
+  if (has_ended(client)) {
+    close(client, CloseMode::lingering);
+  } else if (is_slow_reader) {
     ++counters.slow_readers;
     close(client, CloseMode::immediate);
   } else if (may_close && is_overdue(client, now)) {
--- a/tests/rpc_front/open_calls_test.cpp
+++ b/tests/rpc_front/open_calls_test.cpp
@@ -247,4 +247,36 @@
   }
 }
 
+// Guards against a slow reader that always has a call open and is closed in a hand-over while the
+// kernel still holds its responses (review/7). Its further calls reset the closed connection.
+TEST_F(OpenCallsTest, AreDeliveredToSlowReaderThatIsNeverIdleInHandoff) {
+  constexpr unsigned kResponses = 8;
+  auto client = connect_client(client_front->address());
+  unsigned id = 0;
+  const auto send_call = [&] {
+    ++id;
+    client->write(encode_request(id, "asset", {{"item", object(id)}}));
+  };
+  while (id < kResponses) send_call();
+  ASSERT_TRUE(run_until([&] { return fetch_count() == kResponses; }));
+  polled_sockets.clear();
+  ASSERT_TRUE(respond_with_largest_bodies(kResponses));
+  send_call();
+  ASSERT_TRUE(run_until([&] { return fetch_count() == kResponses + 1; }));
+  client_front->start_handoff(engine->now() + 900'000);
+  ASSERT_TRUE(run_until([&] { return engine->open_request_count() == 0; }));
+  for (int i = 0; i < 15; ++i) {
+    send_call();
+    run_for(100'000);
+  }
+  polled_sockets.push_back(client.get());
+  ASSERT_TRUE(run_until([&] { return client->is_closed; }));
+  EXPECT_FALSE(client->was_reset);
+  const auto responses = decode_responses(client->received);
+  EXPECT_EQ(std::ranges::count(responses, kMaxBodyBytes,
+                               [](const auto& response) { return response.body.size(); }),
+            kResponses);
+  EXPECT_EQ(responses.size(), id) << "later calls are rejected";
+}
+
 }  // namespace
