Number each written endpoint list above the one written before it

Cause: a list got the generation of the active list plus one. Of two writes before the first was read both had the same number, and the second was refused (L021) and never written again.

Each write is now numbered above the active list and all lists written before.

A write that fails is still not repeated by itself.

--- a/src/control/version_contents.cpp
+++ b/src/control/version_contents.cpp
@@ -1,5 +1,6 @@
 #include "control/version_contents.h"
 
+#include <algorithm>
 #include <fstream>
 #include <optional>
 #include <utility>
@@ -136,7 +137,7 @@
     must_write_again_ = true;
     return;
   }
-  const std::uint64_t generation = files_.list_generation ? files_.list_generation() + 1 : 1;
+  const std::uint64_t generation = next_generation();
   const bool is_submitted = worker_.submit([this, active = active_, generation] {
     const ContentResult error = write_all(active, files_, generation);
     wakeup_.post([this, error] {
@@ -154,6 +155,14 @@
   must_write_again_ = true;
 }
 
+// A written list may be replaced before or after it has been read, and a list with the generation
+// of the active one and other content is refused.
+std::uint64_t VersionContents::next_generation() {
+  const std::uint64_t active_generation = files_.list_generation ? files_.list_generation() : 0;
+  last_generation_ = std::max(last_generation_, active_generation) + 1;
+  return last_generation_;
+}
+
 void VersionContents::write_again_if_required() {
   if (!is_writing_ && std::exchange(must_write_again_, false)) write_active_files();
 }
--- a/src/control/version_contents.h
+++ b/src/control/version_contents.h
@@ -55,6 +55,7 @@
  private:
   void write_active_files();
   void write_again_if_required();
+  std::uint64_t next_generation();
 
   const VersionFiles files_;
   const std::string folder_;
@@ -62,6 +63,7 @@
   net::Wakeup& wakeup_;
   log::Log& log_;
   consensus::ActiveVersion active_;
+  std::uint64_t last_generation_ = 0;  // of the list that was last written
   bool is_writing_ = false;
   bool must_write_again_ = false;
   file_watch::Worker worker_;  // destroyed first: its jobs use the members above
