Clean the new tests for the linter

Two unused names, a string that was concatenated of eight parts, and a cast that the linter takes for a C-style one.

--- a/tests/rpc_front/repeated_request_test.cpp
+++ b/tests/rpc_front/repeated_request_test.cpp
@@ -7,7 +7,6 @@
 namespace {
 
 using namespace event_races;
-using loopback::CacheCommand;
 using loopback::idempotency_key;
 using loopback::TestSocket;
 
--- a/tests/signed_url_memory_test.cpp
+++ b/tests/signed_url_memory_test.cpp
@@ -1,6 +1,7 @@
 // Tests that clients of the HTTP servers which read nothing cannot make the router hold memory
 // without end.
 #include <string>
+#include <string_view>
 
 #include "signed_url/token.h"
 #include "support/edge_router_fixture.h"
@@ -9,7 +10,6 @@
 namespace {
 
 using namespace alderspur;
-using loopback::FakeCache;
 using loopback::TestSocket;
 
 constexpr std::size_t kMemoryMb = 16;
@@ -40,12 +40,12 @@
   std::size_t flood(TestSocket& client, const std::string& request) {
     std::string requests;
     while (requests.size() < kFloodBytes / 8) requests += request;
+    const std::string_view unwritten = requests;
     std::size_t max_held_bytes = 0;
     std::size_t written = 0;
     core::Time last_progress_at = net::unix_now();
     run_until([&] {
-      const std::size_t count =
-          client.write_some(std::string_view(requests).substr(written % requests.size()));
+      const std::size_t count = client.write_some(unwritten.substr(written % unwritten.size()));
       written += count;
       const core::Time now = net::unix_now();
       if (count > 0) last_progress_at = now;
@@ -81,7 +81,7 @@
   std::size_t max_held_bytes = 0;
   const std::size_t reads = 2'000;
   for (std::size_t i = 0; i < reads; ++i) {
-    proxy->write(request + request + request + request + request + request + request + request);
+    for (int k = 0; k < 8; ++k) proxy->write(request);
     ev_run(loop.raw(), EVRUN_NOWAIT);
     server.end_turn();
     max_held_bytes = std::max(max_held_bytes, loop.buffers().held);
