Let the discovery server of a test send its line while the test is slow

QueuedCommandsTest.SendsNoFurtherCommandsWhenCacheDrainsWithoutReading failed beside load, 1 time in a run of all tests and 6 of 6 when six ran beside two builds: its third event never arrived.

Cause, by the trace: the test took over 1.8 s before it wrote the event (23.4 s and more, of which 20 s are the wait), and a watch that is silent for 1.8 s is replaced by a new connection. The real notice board writes a line each second; the test's did not. It does now, for each client it adds.

What the test checks is unchanged.

--- a/tests/server_races_test.cpp
+++ b/tests/server_races_test.cpp
@@ -68,6 +68,7 @@
   const std::string body(48'000, 'w');
   unsigned request_count = 0;
   for (int client = 0; client < 40; ++client) {
+    watch->write("2\n");  // as each second; a silent watch would be replaced
     clients.push_back(connect_client(client_front->address()));
     for (int i = 0; i < 30; ++i) {
       ++request_count;
@@ -78,6 +79,7 @@
     }
     ASSERT_TRUE(run_until([&] { return engine->counters().admitted == request_count; }));
   }
+  watch->write("2\n");
   run_briefly();
   const auto sent = engine->counters().forwarded;
   ASSERT_GT(engine->open_request_count(), sent + 20)
